settingsstore, instancelist: keep accepted settings by path and version

Cause: every instance holds the settings in effect and passes them on; an older or invalid value must not displace one in effect, and all instances have to end in the same state whatever the order of the changes. Ruled out: deciding a conflict of teams when a value arrives, because the result depended on which team came first. Comparing the paths of the teams was ruled out as well: "/teams/crew.a/" sorts before "/teams/crew/". Change: per path the store keeps the highest valid and the highest invalid version, and derives the owner of a service name, the digest and the dump from them. Instance lists are JSON documents in the same store.

--- /dev/null
+++ b/include/laburnumspar/instancelist.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "laburnumspar/fleet.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace laburnumspar {
+
+/// Path of the list of the instances of the fleet.
+inline constexpr std::string_view InstanceListPath = "/instances/entries";
+
+/// Path of the list of the upstreams of a service.
+std::string upstreamListPath(std::string_view service);
+/// Service that an upstream list path names; empty for any other path.
+std::optional<std::string> serviceOfUpstreamList(std::string_view path);
+
+/// Parse the JSON documents at these paths: `{"instances":[{"address","zone","state"}]}` and
+/// `{"upstreams":[{"address","zone","state"}]}` with the states live, leaving and starting. The result is in the
+/// order of the addresses. Throw DecodeError, also for an address that is listed twice; ignore unknown members.
+std::vector<InstanceEntry> parseInstanceList(std::string_view text);
+std::vector<UpstreamEntry> parseUpstreamList(std::string_view text, const std::string &service);
+
+/// Canonical text: the same entries give the same text, in whichever order they come.
+std::string instanceListText(std::vector<InstanceEntry> entries);
+std::string upstreamListText(std::vector<UpstreamEntry> entries);
+
+} // namespace laburnumspar
--- a/include/laburnumspar/settings.h
+++ b/include/laburnumspar/settings.h
@@ -70,7 +70,7 @@
     std::string team;
     std::string service;
 
-    auto operator<=>(const ServicePath &) const = default;
+    bool operator==(const ServicePath &) const = default;
 };
 
 /// Parses `/teams/<team>/services/<service>`; empty if the path is anything else.
--- /dev/null
+++ b/include/laburnumspar/settingsstore.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "laburnumspar/fleet.h"
+#include "laburnumspar/settings.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace laburnumspar {
+
+/// What became of an offered value.
+struct OfferResult {
+    enum class Kind : std::uint8_t {
+        Accepted, ///< in effect from now on
+        Rejected, ///< invalid; what was in effect before still is
+        Older, ///< a higher version is known
+        Same, ///< this text was in effect already; its version may have risen
+    };
+
+    Kind kind = Kind::Older;
+    std::string reason; ///< why it was rejected; empty otherwise
+};
+
+template <>
+struct EnumNames<OfferResult::Kind> {
+    static constexpr std::array<std::string_view, 4> Names{"accepted", "rejected", "older", "same"};
+};
+
+/// A text in effect.
+struct SettingsValue {
+    std::uint64_t version = 0;
+    std::string text;
+
+    bool operator==(const SettingsValue &) const = default;
+};
+
+/// State of one path for operators.
+struct SettingsRecord {
+    std::string path;
+    std::uint64_t acceptedVersion = 0; ///< 0: nothing is in effect
+    std::uint64_t rejectedVersion = 0; ///< last rejected version above the accepted one; 0: none
+    std::string reason; ///< of the rejection
+
+    bool operator==(const SettingsRecord &) const = default;
+};
+
+/// Service settings and instance lists in effect, by path, with the versions that the platform assigned (from 1).
+/// The state depends on the set of offers only, not on their order. Not thread-safe.
+class SettingsStore
+{
+public:
+    /// Takes service settings (`/teams/<team>/services/<service>`) and instance lists (`/instances/entries`,
+    /// `/instances/<service>`). Never throws for an invalid value. Where several teams define one service, the
+    /// team that comes first in byte order keeps it, and the values of the others are rejected.
+    OfferResult offer(const std::string &path, std::uint64_t version, const std::string &text);
+
+    /// Accepted versions, by path.
+    std::vector<SettingsVersion> digest() const;
+    /// Entries of the digest of a peer that are newer than what this store knows.
+    std::vector<SettingsVersion> missing(const std::vector<SettingsVersion> &digest) const;
+    /// Accepted value; empty if there is none.
+    std::optional<SettingsValue> value(const std::string &path) const;
+    /// Every path that was offered, also those that only had rejected values.
+    std::vector<SettingsRecord> dump() const;
+
+    /// Null if the service is unknown.
+    std::shared_ptr<const ServiceSettings> service(const std::string &name) const;
+    /// Names of all services in effect.
+    std::vector<std::string> services() const;
+    /// Listed upstreams of a service, by address; never null.
+    std::shared_ptr<const std::vector<UpstreamEntry>> upstreams(const std::string &service) const;
+    /// Listed instances of the fleet, by address; never null.
+    std::shared_ptr<const std::vector<InstanceEntry>> entries() const;
+
+private:
+    using Upstreams = std::shared_ptr<const std::vector<UpstreamEntry>>;
+    using Instances = std::shared_ptr<const std::vector<InstanceEntry>>;
+    using Parsed = std::variant<std::monostate, std::shared_ptr<const ServiceSettings>, Upstreams, Instances>;
+
+    struct Entry {
+        std::uint64_t version = 0; ///< highest valid version; 0: none
+        std::string text;
+        Parsed parsed;
+        std::uint64_t invalidVersion = 0; ///< highest invalid version
+        std::string invalidReason;
+    };
+
+    static Parsed parse(const std::string &path, const std::string &text);
+    OfferResult reject(Entry &entry, std::uint64_t version, const std::string &reason);
+    /// Why a valid value is not in effect; empty if it is.
+    std::string conflict(const std::string &path) const;
+    SettingsRecord record(const std::string &path, const Entry &entry) const;
+    const Entry *inEffect(const std::string &path) const;
+
+    std::map<std::string, Entry> m_entries;
+    std::map<std::string, std::set<std::string>> m_claims; ///< teams with a valid value, by service
+};
+
+} // namespace laburnumspar
--- /dev/null
+++ b/src/detail/jsonfields.cpp
@@ -0,0 +1,117 @@
+#include "detail/jsonfields.h"
+
+#include "laburnumspar/errors.h"
+#include "laburnumspar/settings.h"
+
+namespace laburnumspar::detail {
+
+namespace {
+
+std::string quoted(std::string_view key)
+{
+    return '"' + std::string(key) + '"';
+}
+
+const boost::json::value &memberOf(const boost::json::object &object, std::string_view key)
+{
+    const auto *value = object.if_contains(key);
+    if (!value) {
+        throw DecodeError("member " + quoted(key) + " is missing");
+    }
+    return *value;
+}
+
+} // namespace
+
+boost::json::object parseObject(std::string_view text)
+{
+    boost::system::error_code ec;
+    auto value = boost::json::parse(text, ec);
+    if (ec) {
+        throw DecodeError("not a JSON text: " + ec.message());
+    }
+    objectOf(value, "the text");
+    return std::move(value.as_object());
+}
+
+const boost::json::object &objectOf(const boost::json::value &value, std::string_view what)
+{
+    const auto *object = value.if_object();
+    if (!object) {
+        throw DecodeError(std::string(what) + " is not a JSON object");
+    }
+    return *object;
+}
+
+const boost::json::array &arrayIn(const boost::json::object &object, std::string_view key)
+{
+    const auto *array = memberOf(object, key).if_array();
+    if (!array) {
+        throw DecodeError("member " + quoted(key) + " is not an array");
+    }
+    return *array;
+}
+
+std::string stringIn(const boost::json::object &object, std::string_view key)
+{
+    const auto *text = memberOf(object, key).if_string();
+    if (!text) {
+        throw DecodeError("member " + quoted(key) + " is not a string");
+    }
+    return {text->data(), text->size()};
+}
+
+std::uint64_t numberIn(const boost::json::object &object, std::string_view key)
+{
+    boost::system::error_code ec;
+    const auto number = memberOf(object, key).to_number<std::uint64_t>(ec);
+    if (ec) {
+        throw DecodeError("member " + quoted(key) + " is not a whole number of at least 0");
+    }
+    return number;
+}
+
+Endpoint addressIn(const boost::json::object &object)
+{
+    const auto text = stringIn(object, "address");
+    const auto endpoint = parseEndpoint(text);
+    if (!endpoint || endpoint->port == 0) {
+        throw DecodeError("address " + quoted(text) + " is not an IP address with a port");
+    }
+    return *endpoint;
+}
+
+std::string zoneIn(const boost::json::object &object)
+{
+    auto zone = stringIn(object, "zone");
+    if (!isName(zone)) {
+        throw DecodeError("zone " + quoted(zone) + " is not a name");
+    }
+    return zone;
+}
+
+UpstreamPhase stateIn(const boost::json::object &object)
+{
+    const auto state = stringIn(object, "state");
+    for (const auto phase : {UpstreamPhase::Starting, UpstreamPhase::Serving, UpstreamPhase::Draining}) {
+        if (state == stateName(phase)) {
+            return phase;
+        }
+    }
+    throw DecodeError("state " + quoted(state) + " is none of live, leaving, starting");
+}
+
+std::string_view stateName(UpstreamPhase phase)
+{
+    switch (phase) {
+    case UpstreamPhase::Starting:
+        return "starting";
+    case UpstreamPhase::Serving:
+        return "live";
+    case UpstreamPhase::Draining:
+        return "leaving";
+    }
+    return "invalid";
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/tests/test_instancelist.cpp
@@ -0,0 +1,74 @@
+#include "laburnumspar/instancelist.h"
+
+#include "laburnumspar/errors.h"
+#include "laburnumspar/settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace laburnumspar;
+
+namespace {
+
+std::string upstreamsOf(const std::string &element)
+{
+    return R"({"upstreams":[)" + element + "]}";
+}
+
+} // namespace
+
+// Guards against list changes that are seen where only the order differs, and against fields that get lost.
+BOOST_AUTO_TEST_CASE(canonicalTextReadsBack)
+{
+    std::vector<UpstreamEntry> upstreams{{{"10.0.0.2", 80}, "orders", "a", UpstreamPhase::Draining},
+                                         {{"10.0.0.1", 81}, "orders", "b", UpstreamPhase::Starting},
+                                         {{"fd00::1", 80}, "orders", "b", UpstreamPhase::Serving}};
+    const auto text = upstreamListText(upstreams);
+    std::reverse(upstreams.begin(), upstreams.end());
+    BOOST_TEST(upstreamListText(upstreams) == text);
+    const auto read = parseUpstreamList(text, "orders");
+    BOOST_TEST(upstreamListText(read) == text);
+    BOOST_TEST(std::is_permutation(read.begin(), read.end(), upstreams.begin(), upstreams.end()));
+    const std::vector<InstanceEntry> instances{{{"10.0.0.1", 7401}, "a", false}, {{"10.0.0.1", 7402}, "b", true}};
+    BOOST_TEST((parseInstanceList(instanceListText(instances)) == instances));
+    BOOST_TEST(parseInstanceList(R"({"instances":[]})").empty());
+}
+
+// Guards against a platform that adds members to its replies, which must not stop updates.
+BOOST_AUTO_TEST_CASE(unknownMembersAreIgnored)
+{
+    const auto text = upstreamsOf(R"({"address":"10.0.0.1:80","zone":"a","state":"live","rack":7})");
+    BOOST_TEST(parseUpstreamList(text, "orders").size() == 1U);
+}
+
+// Guards against a damaged list that takes effect in part: whatever is wrong, the whole list is refused.
+BOOST_AUTO_TEST_CASE(damagedListsAreRefused)
+{
+    const std::string good = R"({"address":"10.0.0.1:80","zone":"a","state":"live"})";
+    for (const auto &text : {std::string(),
+                             std::string("[]"),
+                             std::string("{}"),
+                             std::string(R"({"upstreams":{}})"),
+                             upstreamsOf("7"),
+                             upstreamsOf(good + "," + good),
+                             upstreamsOf(R"({"address":"host:80","zone":"a","state":"live"})"),
+                             upstreamsOf(R"({"address":"10.0.0.1:0","zone":"a","state":"live"})"),
+                             upstreamsOf(R"({"address":"10.0.0.1:80","zone":"","state":"live"})"),
+                             upstreamsOf(R"({"address":"10.0.0.1:80","zone":"a","state":"dead"})"),
+                             upstreamsOf(R"({"address":"10.0.0.1:80","zone":"a"})"),
+                             upstreamsOf(good) + std::string(MaxSettingsBytes, ' ')}) {
+        BOOST_TEST_INFO(text.substr(0, 100));
+        BOOST_CHECK_THROW(parseUpstreamList(text, "orders"), DecodeError);
+    }
+    BOOST_CHECK_THROW(parseInstanceList(upstreamsOf(good)), DecodeError);
+}
+
+// Guards against the instance list of the fleet being taken for the upstreams of a service named "entries".
+BOOST_AUTO_TEST_CASE(pathsNameServices)
+{
+    BOOST_TEST(serviceOfUpstreamList(upstreamListPath("orders")).value() == "orders");
+    for (const auto *path : {"/instances/entries", "/instances/", "/instances/a/b", "/teams/a/services/b", ""}) {
+        BOOST_TEST(!serviceOfUpstreamList(path).has_value(), path);
+    }
+}
--- /dev/null
+++ b/tests/test_settingsstore.cpp
@@ -0,0 +1,240 @@
+#include "laburnumspar/settingsstore.h"
+
+#include "laburnumspar/instancelist.h"
+#include "seededproperties.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace laburnumspar;
+
+BOOST_TEST_GLOBAL_FIXTURE(SeededProperties);
+
+namespace {
+
+using Kind = OfferResult::Kind;
+
+const std::string Orders = "/teams/shop/services/orders";
+const std::string OrdersOfCrew = "/teams/crew/services/orders";
+const std::string Upstreams = R"({"upstreams":[{"address":"10.0.0.1:80","zone":"a","state":"live"}]})";
+
+std::string slots(unsigned n)
+{
+    return "[limits]\nslots = " + std::to_string(n);
+}
+
+struct Offer {
+    std::string path;
+    std::uint64_t version = 0;
+    std::string text;
+};
+
+// Text that the platform holds at a path and version. Some versions are invalid, some repeat the one before.
+std::string textAt(const std::string &path, std::uint64_t version, unsigned world)
+{
+    const auto choice = (world >> (version * 3 + path.size()) % 29) % 4;
+    if (choice == 0) {
+        return "invalid";
+    }
+    if (path.starts_with("/teams/")) {
+        return slots(choice);
+    }
+    if (path == InstanceListPath) {
+        const InstanceEntry entry{{"10.0.0.9", 80}, "a", choice == 1};
+        return instanceListText({entry});
+    }
+    const UpstreamEntry entry{{"10.0.0.9", 80}, "", "a", UpstreamPhase(choice - 1)};
+    return upstreamListText({entry});
+}
+
+std::vector<Offer> arbitraryOffers(unsigned world)
+{
+    static const std::vector<std::string> paths{Orders,
+                                                OrdersOfCrew,
+                                                "/teams/crew.a/services/orders",
+                                                "/teams/crew/services/sites",
+                                                std::string(InstanceListPath),
+                                                "/instances/orders",
+                                                "/other"};
+    const auto picks = *rc::gen::container<std::vector<std::pair<std::size_t, std::uint64_t>>>(
+        rc::gen::pair(rc::gen::inRange<std::size_t>(0, paths.size()), rc::gen::inRange<std::uint64_t>(0, 8)));
+    std::vector<Offer> offers;
+    for (const auto &[n, version] : picks) {
+        offers.push_back({paths[n], version, textAt(paths[n], version, world)});
+    }
+    return offers;
+}
+
+SettingsStore storeOf(const std::vector<Offer> &offers)
+{
+    SettingsStore store;
+    for (const auto &offer : offers) {
+        store.offer(offer.path, offer.version, offer.text);
+    }
+    return store;
+}
+
+std::map<std::string, SettingsRecord> recordsOf(const SettingsStore &store)
+{
+    std::map<std::string, SettingsRecord> records;
+    for (const auto &record : store.dump()) {
+        records[record.path] = record;
+    }
+    return records;
+}
+
+// The one cause that ends the effect of a value.
+bool ownedByEarlierTeam(const SettingsStore &store, const std::string &path)
+{
+    const auto own = parseServicePath(path);
+    const auto service = own ? store.service(own->service) : nullptr;
+    return service && service->team < own->team;
+}
+
+// Pulls from `peer` whatever `store` lacks.
+void pull(SettingsStore &store, const SettingsStore &peer)
+{
+    for (const auto &entry : store.missing(peer.digest())) {
+        const auto value = peer.value(entry.path);
+        store.offer(entry.path, value->version, value->text);
+    }
+}
+
+} // namespace
+
+// Guards against an invalid value that displaces the one in effect, or hides the values of other paths.
+BOOST_AUTO_TEST_CASE(invalidValueLeavesTheLastAcceptedOne)
+{
+    SettingsStore store;
+    BOOST_CHECK(store.offer(Orders, 3, slots(3)).kind == Kind::Accepted);
+    BOOST_CHECK(store.offer("/instances/orders", 4, Upstreams).kind == Kind::Accepted);
+    const auto refused = store.offer(Orders, 5, slots(0));
+    BOOST_CHECK(refused.kind == Kind::Rejected);
+    BOOST_TEST(refused.reason.find("limits.slots") != std::string::npos);
+    BOOST_TEST(store.service("orders")->slots == 3U);
+    BOOST_TEST(store.upstreams("orders")->size() == 1U);
+    BOOST_CHECK(store.value(Orders) == (SettingsValue{3, slots(3)}));
+    const auto record = recordsOf(store)[Orders];
+    BOOST_CHECK(record == (SettingsRecord{Orders, 3, 5, refused.reason}));
+    BOOST_CHECK(store.offer(Orders, 6, slots(6)).kind == Kind::Accepted);
+    BOOST_TEST(recordsOf(store)[Orders].rejectedVersion == 0U);
+}
+
+// Guards against a return to older settings, which a stale platform or peer would otherwise cause.
+BOOST_AUTO_TEST_CASE(versionsOnlyRise)
+{
+    SettingsStore store;
+    store.offer(Orders, 5, slots(5));
+    BOOST_CHECK(store.offer(Orders, 4, slots(4)).kind == Kind::Older);
+    BOOST_CHECK(store.offer(Orders, 0, slots(4)).kind == Kind::Older);
+    BOOST_CHECK(store.offer(Orders, 5, slots(5)).kind == Kind::Same);
+    BOOST_CHECK(store.offer(Orders, 5, slots(4)).kind == Kind::Rejected);
+    const auto before = store.service("orders");
+    BOOST_CHECK(store.offer(Orders, 9, slots(5)).kind == Kind::Same);
+    BOOST_TEST(store.digest().at(0).version == 9U);
+    BOOST_TEST(store.service("orders") == before);
+}
+
+// Guards against an instance that starts after a rejected change and then stays without settings.
+BOOST_AUTO_TEST_CASE(lastAcceptedValueIsPulledAfterARejection)
+{
+    SettingsStore peer;
+    peer.offer(Orders, 5, slots(5));
+    peer.offer(Orders, 7, "invalid");
+    SettingsStore late;
+    late.offer(Orders, 7, "invalid");
+    pull(late, peer);
+    BOOST_TEST(late.service("orders")->slots == 5U);
+    BOOST_CHECK(late.dump() == peer.dump());
+}
+
+// Guards against two teams that both believe they own a service, or an owner that depends on who came first.
+BOOST_AUTO_TEST_CASE(firstTeamKeepsTheServiceName)
+{
+    const Offer crew{OrdersOfCrew, 2, slots(2)};
+    const Offer shop{Orders, 5, slots(5)};
+    const auto early = storeOf({crew, shop});
+    const auto late = storeOf({shop, crew});
+    for (const auto *store : {&early, &late}) {
+        BOOST_TEST(store->service("orders")->team == "crew");
+        BOOST_TEST(store->services().size() == 1U);
+        BOOST_TEST(store->digest().size() == 1U);
+        BOOST_TEST(!store->value(Orders).has_value());
+        const auto record = recordsOf(*store)[Orders];
+        BOOST_TEST(record.rejectedVersion == 5U);
+        BOOST_TEST(record.reason.find("belongs to team crew") != std::string::npos);
+    }
+    // By path, "/teams/crew.a/" would come before "/teams/crew/".
+    const auto dotted = storeOf({{"/teams/crew.a/services/orders", 9, slots(9)}, crew});
+    BOOST_TEST(dotted.service("orders")->team == "crew");
+}
+
+// Guards against null results for what is not known, and unknown paths that are taken for settings.
+BOOST_AUTO_TEST_CASE(unknownNamesAreEmpty)
+{
+    SettingsStore store;
+    BOOST_TEST(store.service("orders") == nullptr);
+    BOOST_TEST(store.upstreams("orders")->empty());
+    BOOST_TEST(store.upstreams("entries")->empty());
+    BOOST_TEST(store.entries()->empty());
+    BOOST_CHECK(store.offer("/teams/shop/limits", 1, "").kind == Kind::Rejected);
+    BOOST_CHECK(store.offer("/instances/entries", 1, R"({"instances":[]})").kind == Kind::Accepted);
+    BOOST_TEST(store.upstreams("entries")->empty());
+}
+
+// Guards against any order of offers that lowers a version.
+BOOST_AUTO_TEST_CASE(noSequenceLowersAVersion)
+{
+    BOOST_CHECK(rc::check("versions never fall", [](unsigned world) {
+        SettingsStore store;
+        for (const auto &offer : arbitraryOffers(world)) {
+            const auto before = recordsOf(store);
+            store.offer(offer.path, offer.version, offer.text);
+            const auto after = recordsOf(store);
+            for (const auto &[path, old] : before) {
+                const auto &now = after.at(path);
+                const bool displaced = now.acceptedVersion == 0 && ownedByEarlierTeam(store, path);
+                RC_ASSERT((now.acceptedVersion >= old.acceptedVersion || displaced));
+                RC_ASSERT(std::max(now.acceptedVersion, now.rejectedVersion)
+                          >= std::max(old.acceptedVersion, old.rejectedVersion));
+            }
+        }
+    }));
+}
+
+// Guards against instances that disagree for good because they saw the same changes in another order.
+BOOST_AUTO_TEST_CASE(orderOfOffersDoesNotMatter)
+{
+    BOOST_CHECK(rc::check("stores agree", [](unsigned world) {
+        auto offers = arbitraryOffers(world);
+        const auto first = storeOf(offers);
+        for (std::size_t n = offers.size(); n > 1; --n) {
+            std::swap(offers[n - 1], offers[*rc::gen::resize(1000, rc::gen::inRange<std::size_t>(0, n))]);
+        }
+        const auto second = storeOf(offers);
+        RC_ASSERT(first.dump() == second.dump());
+        RC_ASSERT(first.digest() == second.digest());
+        RC_ASSERT(first.services() == second.services());
+        RC_ASSERT(*first.entries() == *second.entries());
+        for (const auto &entry : first.digest()) {
+            RC_ASSERT(first.value(entry.path) == second.value(entry.path));
+        }
+    }));
+}
+
+// Guards against peers that pull the same values for ever, or stop before they have what the peer has.
+BOOST_AUTO_TEST_CASE(pullingConverges)
+{
+    BOOST_CHECK(rc::check("one exchange each way suffices", [](unsigned world) {
+        auto a = storeOf(arbitraryOffers(world));
+        auto b = storeOf(arbitraryOffers(world));
+        pull(a, b);
+        pull(b, a);
+        RC_ASSERT(a.digest() == b.digest());
+        RC_ASSERT(a.missing(b.digest()).empty());
+        RC_ASSERT(b.missing(a.digest()).empty());
+    }));
+}
