--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,345 @@
+#include "laburnumspar/metrics.h"
+
+#include "detail/guarded.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <limits>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace laburnumspar {
+
+namespace acc = boost::accumulators;
+
+namespace {
+
+using Quantiles = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::extended_p_square>>;
+
+constexpr auto &Probabilities = DistributionSummary::Probabilities;
+/// The P-square estimate has 2n + 3 markers and is undefined before it has that many values.
+constexpr std::size_t MarkerCount = 2 * Probabilities.size() + 3;
+
+/// Quantiles of the values of one window.
+class Window
+{
+public:
+    void add(double value)
+    {
+        if (m_first.size() < MarkerCount) {
+            m_first.push_back(value);
+        }
+        m_quantiles(value);
+    }
+
+    bool empty() const
+    {
+        return m_first.empty();
+    }
+
+    std::array<double, Probabilities.size()> quantiles() const
+    {
+        std::array<double, Probabilities.size()> result{};
+        if (acc::count(m_quantiles) > MarkerCount) {
+            const auto estimates = acc::extended_p_square(m_quantiles);
+            std::copy_n(estimates.begin(), result.size(), result.begin());
+            return result;
+        }
+        auto sorted = m_first;
+        std::sort(sorted.begin(), sorted.end());
+        for (std::size_t n = 0; n < result.size(); ++n) {
+            const auto rank
+                = static_cast<std::size_t>(std::ceil(Probabilities[n] * static_cast<double>(sorted.size())));
+            result[n] = sorted[rank - 1];
+        }
+        return result;
+    }
+
+private:
+    std::vector<double> m_first;
+    Quantiles m_quantiles{acc::tag::extended_p_square::probabilities = Probabilities};
+};
+
+struct DistributionState {
+    std::uint64_t count = 0;
+    double sum = 0;
+    std::optional<TimePoint> started;
+    Window current;
+    Window previous;
+
+    void rotate(TimePoint now, Milliseconds window)
+    {
+        if (!started) {
+            started = now;
+        }
+        const auto age = now - *started;
+        if (age < window) {
+            return;
+        }
+        previous = age < 2 * window ? std::move(current) : Window();
+        current = Window();
+        started = now;
+    }
+};
+
+} // namespace
+
+class Distribution::Private
+{
+public:
+    explicit Private(Milliseconds length)
+        : window(length)
+        , state(detail::LockRank::Metrics)
+    {
+    }
+
+    Milliseconds window;
+    detail::Guarded<DistributionState> state;
+};
+
+Distribution::Distribution(Milliseconds window)
+    : m_d(std::make_unique<Private>(window))
+{
+}
+
+Distribution::~Distribution() = default;
+
+void Distribution::record(double value, TimePoint now)
+{
+    m_d->state.with([&](DistributionState &state) {
+        state.rotate(now, m_d->window);
+        state.current.add(value);
+        ++state.count;
+        state.sum += value;
+    });
+}
+
+DistributionSummary Distribution::summary(TimePoint now) const
+{
+    return m_d->state.with([&](DistributionState &state) {
+        state.rotate(now, m_d->window);
+        DistributionSummary result{state.count, state.sum, {}};
+        result.quantiles.fill(std::numeric_limits<double>::quiet_NaN());
+        const auto &window = state.previous.empty() ? state.current : state.previous;
+        if (!window.empty()) {
+            result.quantiles = window.quantiles();
+        }
+        return result;
+    });
+}
+
+namespace {
+
+enum class MetricKind : std::uint8_t {
+    Counter,
+    Gauge,
+    Distribution,
+};
+
+constexpr std::string_view typeName(MetricKind kind)
+{
+    switch (kind) {
+    case MetricKind::Counter:
+        return "counter";
+    case MetricKind::Gauge:
+        return "gauge";
+    case MetricKind::Distribution:
+        break;
+    }
+    return "summary";
+}
+
+/// Metrics of one name by their labels in text form.
+template <typename T>
+using MetricsOf = std::map<std::string, std::unique_ptr<T>>;
+
+struct Family {
+    MetricKind kind = MetricKind::Counter;
+    MetricsOf<Counter> counters;
+    MetricsOf<Gauge> gauges;
+    MetricsOf<Distribution> distributions;
+};
+
+using Families = std::map<std::string, Family>;
+
+bool validName(std::string_view text)
+{
+    const auto valid
+        = [](char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '_'; };
+    return !text.empty() && !(text.front() >= '0' && text.front() <= '9')
+        && std::all_of(text.begin(), text.end(), valid);
+}
+
+std::string labelText(const MetricLabels &labels)
+{
+    std::string text;
+    for (const auto &[label, value] : labels) {
+        requireInvariant(validName(label), "label names have letters, digits and _ only");
+        text += (text.empty() ? "" : ",") + label + "=\"";
+        for (const char c : value) {
+            if (c == '\n') {
+                text += "\\n";
+                continue;
+            }
+            if (c == '\\' || c == '"') {
+                text += '\\';
+            }
+            text += c;
+        }
+        text += '"';
+    }
+    return text;
+}
+
+std::string number(double value)
+{
+    if (std::isnan(value)) {
+        return "NaN";
+    }
+    if (std::isinf(value)) {
+        return value > 0 ? "+Inf" : "-Inf";
+    }
+    std::array<char, 32> buf{};
+    const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), value).ptr;
+    return {buf.data(), end};
+}
+
+void appendSample(std::string &out, const std::string &name, const std::string &labels, const std::string &value)
+{
+    out += name;
+    if (!labels.empty()) {
+        out += '{' + labels + '}';
+    }
+    out += ' ' + value + '\n';
+}
+
+void appendSummary(std::string &out,
+                   const std::string &name,
+                   const std::string &labels,
+                   const DistributionSummary &data)
+{
+    const auto prefix = labels.empty() ? labels : labels + ',';
+    for (std::size_t n = 0; n < Probabilities.size(); ++n) {
+        appendSample(out, name, prefix + "quantile=\"" + number(Probabilities[n]) + '"', number(data.quantiles[n]));
+    }
+    appendSample(out, name + "_sum", labels, number(data.sum));
+    appendSample(out, name + "_count", labels, std::to_string(data.count));
+}
+
+/// Where the values of one family are found; values are read without the lock of the registry.
+struct FamilyView {
+    std::string name;
+    MetricKind kind;
+    std::vector<std::pair<std::string, const Counter *>> counters;
+    std::vector<std::pair<std::string, const Gauge *>> gauges;
+    std::vector<std::pair<std::string, const Distribution *>> distributions;
+};
+
+template <typename T>
+std::vector<std::pair<std::string, const T *>> viewOf(const MetricsOf<T> &metrics)
+{
+    std::vector<std::pair<std::string, const T *>> view;
+    for (const auto &[labels, metric] : metrics) {
+        view.emplace_back(labels, metric.get());
+    }
+    return view;
+}
+
+} // namespace
+
+class MetricsRegistry::Private
+{
+public:
+    explicit Private(Milliseconds length)
+        : window(length)
+        , families(detail::LockRank::Metrics)
+    {
+    }
+
+    /// The metric with this name and these labels, made on first use.
+    template <typename T, typename... Args>
+    T &find(const std::string &name,
+            const MetricLabels &labels,
+            MetricKind kind,
+            MetricsOf<T> Family::*member,
+            Args... args)
+    {
+        requireInvariant(validName(name), "metric names have letters, digits and _ only");
+        const auto text = labelText(labels);
+        return families.with([&](Families &all) -> T & {
+            auto &family = all.try_emplace(name, Family{kind, {}, {}, {}}).first->second;
+            requireInvariant(family.kind == kind, "a metric name has one kind");
+            auto &metric = (family.*member)[text];
+            if (!metric) {
+                metric = std::make_unique<T>(args...);
+            }
+            return *metric;
+        });
+    }
+
+    std::vector<FamilyView> view()
+    {
+        return families.with([](const Families &all) {
+            std::vector<FamilyView> views;
+            for (const auto &[name, family] : all) {
+                views.push_back(FamilyView{
+                    name, family.kind, viewOf(family.counters), viewOf(family.gauges), viewOf(family.distributions)});
+            }
+            return views;
+        });
+    }
+
+    Milliseconds window;
+    detail::Guarded<Families> families;
+};
+
+MetricsRegistry::MetricsRegistry(Milliseconds window)
+    : m_d(std::make_unique<Private>(window))
+{
+}
+
+MetricsRegistry::~MetricsRegistry() = default;
+
+Counter &MetricsRegistry::counter(const std::string &name, const MetricLabels &labels)
+{
+    return m_d->find<Counter>(name, labels, MetricKind::Counter, &Family::counters);
+}
+
+Gauge &MetricsRegistry::gauge(const std::string &name, const MetricLabels &labels)
+{
+    return m_d->find<Gauge>(name, labels, MetricKind::Gauge, &Family::gauges);
+}
+
+Distribution &MetricsRegistry::distribution(const std::string &name, const MetricLabels &labels)
+{
+    return m_d->find<Distribution>(name, labels, MetricKind::Distribution, &Family::distributions, m_d->window);
+}
+
+std::string MetricsRegistry::prometheus(TimePoint now) const
+{
+    std::string out;
+    for (const auto &family : m_d->view()) {
+        out += "# TYPE " + family.name + ' ';
+        out += typeName(family.kind);
+        out += '\n';
+        for (const auto &[labels, counter] : family.counters) {
+            appendSample(out, family.name, labels, std::to_string(counter->value()));
+        }
+        for (const auto &[labels, gauge] : family.gauges) {
+            appendSample(out, family.name, labels, number(gauge->value()));
+        }
+        for (const auto &[labels, distribution] : family.distributions) {
+            appendSummary(out, family.name, labels, distribution->summary(now));
+        }
+    }
+    return out;
+}
+
+} // namespace laburnumspar
