settingsstore: offer the hash and the difference of digests

Cause: heartbeats carry a hash over all accepted versions, and a pull names what the puller has; the store had neither. MaxSettingsBytes and SettingsValue also collided with messages.h, and the log levels with those of log.h. Ruled out: hashing the digest for each heartbeat; it is kept until a change. Change: digestHash(), newerThan(), instanceDocuments(); MaxValueBytes and AcceptedValue as names; log levels and formats come from log.h. Conclusion: membership and the peer links can use the store as it is.

--- a/include/laburnumspar/instancelist.h
+++ b/include/laburnumspar/instancelist.h
@@ -2,6 +2,7 @@
 
 #include "laburnumspar/fleet.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,4 +28,9 @@
 std::string instanceListText(std::vector<InstanceEntry> entries);
 std::string upstreamListText(std::vector<UpstreamEntry> entries);
 
+/// Documents by path for one list of the platform. A service without listed upstreams has no document here: where one
+/// is in effect, `upstreamListText({})` replaces it.
+std::map<std::string, std::string> instanceDocuments(const std::vector<InstanceEntry> &instances,
+                                                     const std::vector<UpstreamEntry> &upstreams);
+
 } // namespace laburnumspar
--- a/include/laburnumspar/settings.h
+++ b/include/laburnumspar/settings.h
@@ -11,8 +11,8 @@
 
 namespace laburnumspar {
 
-/// Largest settings text, in bytes; the platform stores no larger value.
-inline constexpr std::size_t MaxSettingsBytes = 1024 * 1024;
+/// Largest value of the platform, in bytes; longer texts are invalid.
+inline constexpr std::size_t MaxValueBytes = 1024 * 1024;
 
 /// Settings of one process, read from its TOML file: [instance], [listen], [platform], [log], [limits].
 struct ProcessSettings {
@@ -26,8 +26,8 @@
     std::string platformDialect = "lspar-v1";
     unsigned workers = 2; ///< threads, 1 to 256
     unsigned instancesMax = 40; ///< upper bound of the instances that share the connection limit of an upstream
-    std::string logLevel = "info"; ///< trace, debug, info, warn, error
-    std::string logFormat = "json"; ///< json, keyvalue
+    std::string logLevel = "info"; ///< a name of LogLevel
+    std::string logFormat = "json"; ///< a name of LogFormat
     Milliseconds drainLimit{0}; ///< longest graceful shutdown, at most 1 day; 0: no limit
     bool faultInjection = false;
 
--- a/include/laburnumspar/settingsstore.h
+++ b/include/laburnumspar/settingsstore.h
@@ -34,11 +34,11 @@
 };
 
 /// A text in effect.
-struct SettingsValue {
+struct AcceptedValue {
     std::uint64_t version = 0;
     std::string text;
 
-    bool operator==(const SettingsValue &) const = default;
+    bool operator==(const AcceptedValue &) const = default;
 };
 
 /// State of one path for operators.
@@ -63,10 +63,14 @@
 
     /// Accepted versions, by path.
     std::vector<SettingsVersion> digest() const;
+    /// Hash of the digest: equal for stores that have the same versions in effect.
+    std::uint64_t digestHash() const;
     /// Entries of the digest of a peer that are newer than what this store knows.
     std::vector<SettingsVersion> missing(const std::vector<SettingsVersion> &digest) const;
+    /// Entries of this store that are newer than, or missing from, the digest of a peer.
+    std::vector<SettingsVersion> newerThan(const std::vector<SettingsVersion> &digest) const;
     /// Accepted value; empty if there is none.
-    std::optional<SettingsValue> value(const std::string &path) const;
+    std::optional<AcceptedValue> value(const std::string &path) const;
     /// Every path that was offered, also those that only had rejected values.
     std::vector<SettingsRecord> dump() const;
 
@@ -101,6 +105,7 @@
 
     std::map<std::string, Entry> m_entries;
     std::map<std::string, std::set<std::string>> m_claims; ///< teams with a valid value, by service
+    mutable std::optional<std::uint64_t> m_digestHash; ///< empty after a change
 };
 
 } // namespace laburnumspar
--- a/src/detail/tomlsection.cpp
+++ b/src/detail/tomlsection.cpp
@@ -31,8 +31,8 @@
 
 toml::table parseToml(std::string_view text, const std::string &file)
 {
-    if (text.size() > MaxSettingsBytes) {
-        throw SettingsError(file, "text", 0, "at most " + std::to_string(MaxSettingsBytes) + " bytes are allowed");
+    if (text.size() > MaxValueBytes) {
+        throw SettingsError(file, "text", 0, "at most " + std::to_string(MaxValueBytes) + " bytes are allowed");
     }
     try {
         return toml::parse(text, file);
--- a/src/detail/tomlsection.h
+++ b/src/detail/tomlsection.h
@@ -19,7 +19,7 @@
     T most;
 };
 
-/// Parses a text of at most MaxSettingsBytes. Throws SettingsError with the line of the first fault.
+/// Parses a text of at most MaxValueBytes. Throws SettingsError with the line of the first fault.
 toml::table parseToml(std::string_view text, const std::string &file);
 
 /// Typed, checked access to one table of a settings text. All members throw SettingsError.
--- a/src/instancelist.cpp
+++ b/src/instancelist.cpp
@@ -36,8 +36,8 @@
 
 boost::json::object parseDocument(std::string_view text)
 {
-    if (text.size() > MaxSettingsBytes) {
-        throw DecodeError("the text has more than " + std::to_string(MaxSettingsBytes) + " bytes");
+    if (text.size() > MaxValueBytes) {
+        throw DecodeError("the text has more than " + std::to_string(MaxValueBytes) + " bytes");
     }
     return detail::parseObject(text);
 }
@@ -111,4 +111,18 @@
     return document("upstreams", std::move(elements));
 }
 
+std::map<std::string, std::string> instanceDocuments(const std::vector<InstanceEntry> &instances,
+                                                     const std::vector<UpstreamEntry> &upstreams)
+{
+    std::map<std::string, std::vector<UpstreamEntry>> byService;
+    for (const auto &entry : upstreams) {
+        byService[entry.service].push_back(entry);
+    }
+    std::map<std::string, std::string> documents{{std::string(InstanceListPath), instanceListText(instances)}};
+    for (auto &[service, entries] : byService) {
+        documents[upstreamListPath(service)] = upstreamListText(std::move(entries));
+    }
+    return documents;
+}
+
 } // namespace laburnumspar
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "detail/tomlsection.h"
 #include "laburnumspar/errors.h"
+#include "laburnumspar/log.h"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -34,6 +35,12 @@
 // The path /instances/entries holds the instances of the fleet, /instances/<service> the upstreams of a service.
 constexpr std::string_view ReservedService = "entries";
 
+template <typename E>
+std::vector<std::string_view> namesOf()
+{
+    return {EnumNames<E>::Names.begin(), EnumNames<E>::Names.end()};
+}
+
 void requireSpecific(const TomlSection &section, std::string_view key, const Endpoint &endpoint)
 {
     section.require(key);
@@ -177,7 +184,7 @@
     }
     normalisePrefix(route.prefix);
     std::string workClass;
-    section.readChoice("class", workClass, {EnumNames<WorkClass>::Names.begin(), EnumNames<WorkClass>::Names.end()});
+    section.readChoice("class", workClass, namesOf<WorkClass>());
     route.workClass = fromName<WorkClass>(workClass);
     section.read("idempotent", route.idempotent);
     section.read("deadline_ms", route.deadline, {1, MaxDeadlineMs});
@@ -263,8 +270,8 @@
         platform.fail("addresses", "at least one address is allowed, here or in instance.seeds");
     }
     const auto log = TomlSection::of(root, file, "log", {"level", "format"});
-    log.readChoice("level", settings.logLevel, {"trace", "debug", "info", "warn", "error"});
-    log.readChoice("format", settings.logFormat, {"json", "keyvalue"});
+    log.readChoice("level", settings.logLevel, namesOf<LogLevel>());
+    log.readChoice("format", settings.logFormat, namesOf<LogFormat>());
     readLimits(TomlSection::of(root, file, "limits", {"workers", "instances_max", "drain_limit_ms"}), settings);
     return settings;
 }
--- a/src/settingsstore.cpp
+++ b/src/settingsstore.cpp
@@ -3,6 +3,8 @@
 #include "laburnumspar/errors.h"
 #include "laburnumspar/instancelist.h"
 
+#include <xxhash.h>
+
 namespace laburnumspar {
 
 namespace {
@@ -41,6 +43,7 @@
         entry.text = text;
     }
     entry.version = version;
+    m_digestHash.reset();
     if (const auto owner = parseServicePath(path)) {
         m_claims[owner->service].insert(owner->team);
     }
@@ -61,6 +64,19 @@
     return digest;
 }
 
+// Kept until the next change: every heartbeat carries the hash, and a digest has thousands of paths at the target size.
+std::uint64_t SettingsStore::digestHash() const
+{
+    if (!m_digestHash) {
+        std::string text;
+        for (const auto &entry : digest()) {
+            text += entry.path + '@' + std::to_string(entry.version) + '\n';
+        }
+        m_digestHash = XXH3_64bits(text.data(), text.size());
+    }
+    return *m_digestHash;
+}
+
 std::vector<SettingsVersion> SettingsStore::missing(const std::vector<SettingsVersion> &digest) const
 {
     std::vector<SettingsVersion> missing;
@@ -75,10 +91,24 @@
     return missing;
 }
 
-std::optional<SettingsValue> SettingsStore::value(const std::string &path) const
+std::vector<SettingsVersion> SettingsStore::newerThan(const std::vector<SettingsVersion> &digest) const
+{
+    std::map<std::string_view, std::uint64_t> theirs;
+    for (const auto &entry : digest) {
+        theirs[entry.path] = entry.version;
+    }
+    auto newer = this->digest();
+    std::erase_if(newer, [&theirs](const auto &own) {
+        const auto it = theirs.find(own.path);
+        return it != theirs.end() && it->second >= own.version;
+    });
+    return newer;
+}
+
+std::optional<AcceptedValue> SettingsStore::value(const std::string &path) const
 {
     const auto *entry = inEffect(path);
-    return entry ? std::optional(SettingsValue{entry->version, entry->text}) : std::nullopt;
+    return entry ? std::optional(AcceptedValue{entry->version, entry->text}) : std::nullopt;
 }
 
 std::vector<SettingsRecord> SettingsStore::dump() const
--- a/tests/test_instancelist.cpp
+++ b/tests/test_instancelist.cpp
@@ -57,7 +57,7 @@
                              upstreamsOf(R"({"address":"10.0.0.1:80","zone":"","state":"live"})"),
                              upstreamsOf(R"({"address":"10.0.0.1:80","zone":"a","state":"dead"})"),
                              upstreamsOf(R"({"address":"10.0.0.1:80","zone":"a"})"),
-                             upstreamsOf(good) + std::string(MaxSettingsBytes, ' ')}) {
+                             upstreamsOf(good) + std::string(MaxValueBytes, ' ')}) {
         BOOST_TEST_INFO(text.substr(0, 100));
         BOOST_CHECK_THROW(parseUpstreamList(text, "orders"), DecodeError);
     }
@@ -72,3 +72,14 @@
         BOOST_TEST(!serviceOfUpstreamList(path).has_value(), path);
     }
 }
+
+// Guards against upstreams that end up in the list of another service.
+BOOST_AUTO_TEST_CASE(documentsAreSplitByService)
+{
+    const UpstreamEntry order{{"10.0.0.1", 80}, "orders", "a", UpstreamPhase::Serving};
+    const UpstreamEntry site{{"10.0.0.2", 80}, "sites", "a", UpstreamPhase::Serving};
+    const auto documents = instanceDocuments({}, {order, site});
+    BOOST_TEST(documents.size() == 3U);
+    BOOST_TEST((parseUpstreamList(documents.at("/instances/sites"), "sites") == std::vector{site}));
+    BOOST_TEST(parseInstanceList(documents.at("/instances/entries")).empty());
+}
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -26,7 +26,7 @@
 [platform]
 addresses = ["10.0.0.9:7500"]
 [log]
-level = "warn"
+level = "warning"
 [limits]
 drain_limit_ms = 30000
 )";
@@ -106,7 +106,7 @@
     BOOST_TEST(toString(process.admin) == "127.0.0.1:7402");
     BOOST_TEST(process.seeds.size() == 1U);
     BOOST_TEST(process.instancesMax == 40U);
-    BOOST_TEST(process.logLevel == "warn");
+    BOOST_TEST(process.logLevel == "warning");
     BOOST_TEST(process.drainLimit.count() == 30000);
     const auto service = parseServiceSettings(Service, ServiceAt);
     BOOST_TEST(service.team == "shop");
@@ -135,7 +135,7 @@
                           Case{"10.0.0.1:7400", "[fd00::1]:7401", "listen.peers", 6},
                           Case{"[\"10.0.0.9:7500\"]", "[7500]", "platform.addresses", 8},
                           Case{"[\"10.0.0.9:7500\"]", "\"10.0.0.9:7500\"", "platform.addresses", 8},
-                          Case{"\"warn\"", "\"loud\"", "log.level", 10},
+                          Case{"\"warning\"", "\"loud\"", "log.level", 10},
                           Case{"30000", "-1", "limits.drain_limit_ms", 12},
                           Case{"30000", "3.5", "limits.drain_limit_ms", 12},
                           Case{"[log]", "[logs]", "logs", 9},
@@ -186,7 +186,7 @@
         BOOST_TEST(error.key() == c.key);
         BOOST_TEST(error.line() == c.line);
     }
-    BOOST_TEST(serviceError(std::string(MaxSettingsBytes + 1, '\n')).key() == "text");
+    BOOST_TEST(serviceError(std::string(MaxValueBytes + 1, '\n')).key() == "text");
     BOOST_TEST(errorOf(parseServiceSettings, "", "orders.toml").key() == "service.team");
     BOOST_TEST(errorOf(parseServiceSettings, "", "/teams/a/services/entries").key() == "service.name");
 }
--- a/tests/test_settingsstore.cpp
+++ b/tests/test_settingsstore.cpp
@@ -116,7 +116,7 @@
     BOOST_TEST(refused.reason.find("limits.slots") != std::string::npos);
     BOOST_TEST(store.service("orders")->slots == 3U);
     BOOST_TEST(store.upstreams("orders")->size() == 1U);
-    BOOST_CHECK(store.value(Orders) == (SettingsValue{3, slots(3)}));
+    BOOST_CHECK(store.value(Orders) == (AcceptedValue{3, slots(3)}));
     const auto record = recordsOf(store)[Orders];
     BOOST_CHECK(record == (SettingsRecord{Orders, 3, 5, refused.reason}));
     BOOST_CHECK(store.offer(Orders, 6, slots(6)).kind == Kind::Accepted);
@@ -133,8 +133,12 @@
     BOOST_CHECK(store.offer(Orders, 5, slots(5)).kind == Kind::Same);
     BOOST_CHECK(store.offer(Orders, 5, slots(4)).kind == Kind::Rejected);
     const auto before = store.service("orders");
+    const auto hash = store.digestHash();
     BOOST_CHECK(store.offer(Orders, 9, slots(5)).kind == Kind::Same);
+    BOOST_TEST((store.newerThan({{Orders, 8}}) == std::vector<SettingsVersion>{{Orders, 9}}));
+    BOOST_TEST(store.newerThan({{Orders, 9}}).empty());
     BOOST_TEST(store.digest().at(0).version == 9U);
+    BOOST_TEST(store.digestHash() != hash);
     BOOST_TEST(store.service("orders") == before);
 }
 
@@ -217,6 +221,7 @@
         const auto second = storeOf(offers);
         RC_ASSERT(first.dump() == second.dump());
         RC_ASSERT(first.digest() == second.digest());
+        RC_ASSERT(first.digestHash() == second.digestHash());
         RC_ASSERT(first.services() == second.services());
         RC_ASSERT(*first.entries() == *second.entries());
         for (const auto &entry : first.digest()) {
@@ -234,6 +239,7 @@
         pull(a, b);
         pull(b, a);
         RC_ASSERT(a.digest() == b.digest());
+        RC_ASSERT(a.newerThan(b.digest()).empty());
         RC_ASSERT(a.missing(b.digest()).empty());
         RC_ASSERT(b.missing(a.digest()).empty());
     }));
