--- /dev/null
+++ b/src/plugins/lsparv1platform.cpp
@@ -0,0 +1,117 @@
+#include "detail/jsonfields.h"
+#include "laburnumspar/errors.h"
+#include "laburnumspar/platformdialect.h"
+#include "laburnumspar/plugin.h"
+#include "laburnumspar/settings.h"
+
+#include <boost/url/url.hpp>
+
+namespace laburnumspar {
+
+namespace {
+
+constexpr std::string_view EntryKind = "entry";
+constexpr std::string_view UpstreamKind = "upstream";
+
+std::string target(std::string_view endpoint, std::initializer_list<boost::urls::param_view> parameters)
+{
+    boost::urls::url url;
+    url.set_path(endpoint);
+    for (const auto &parameter : parameters) {
+        url.params().append(parameter);
+    }
+    return url.buffer();
+}
+
+PlatformVersions parseVersions(std::string_view body)
+{
+    const auto root = detail::parseObject(body);
+    PlatformVersions versions{detail::numberIn(root, "version"), {}};
+    for (const auto &each : detail::arrayIn(root, "values")) {
+        const auto &object = detail::objectOf(each, "a value");
+        versions.values.push_back({detail::stringIn(object, "path"), detail::numberIn(object, "version")});
+    }
+    return versions;
+}
+
+std::string serviceIn(const boost::json::object &object)
+{
+    auto service = detail::stringIn(object, "service");
+    if (!isName(service)) {
+        throw DecodeError("service \"" + service + "\" is not a name");
+    }
+    return service;
+}
+
+// Entries state an empty service or none: an instance serves them all.
+void addInstance(const boost::json::object &object, PlatformInstances &list)
+{
+    const auto kind = detail::stringIn(object, "kind");
+    const auto phase = detail::stateIn(object);
+    if (kind == EntryKind) {
+        const bool leaving = phase == UpstreamPhase::Draining;
+        list.instances.push_back({detail::addressIn(object), detail::zoneIn(object), leaving});
+    } else if (kind == UpstreamKind) {
+        list.upstreams.push_back({detail::addressIn(object), serviceIn(object), detail::zoneIn(object), phase});
+    } else {
+        throw DecodeError("kind \"" + kind + "\" is neither entry nor upstream");
+    }
+}
+
+class LsparV1Platform : public PlatformDialect
+{
+public:
+    std::string listTarget(std::string_view prefix) const override
+    {
+        return target("/v1/list", {{"prefix", prefix}});
+    }
+
+    std::string readTarget(std::string_view path) const override
+    {
+        return target("/v1/read", {{"path", path}});
+    }
+
+    std::string watchTarget(std::string_view prefix, std::uint64_t after, Milliseconds wait) const override
+    {
+        const auto afterText = std::to_string(after);
+        const auto waitText = std::to_string(wait.count());
+        return target("/v1/watch", {{"prefix", prefix}, {"after", afterText}, {"wait_ms", waitText}});
+    }
+
+    std::string instancesTarget() const override
+    {
+        return "/v1/instances";
+    }
+
+    PlatformVersions parseList(std::string_view body) const override
+    {
+        return parseVersions(body);
+    }
+
+    PlatformValue parseValue(std::string_view body) const override
+    {
+        const auto root = detail::parseObject(body);
+        return {detail::stringIn(root, "path"), detail::numberIn(root, "version"), detail::stringIn(root, "value")};
+    }
+
+    PlatformVersions parseChanges(std::string_view body) const override
+    {
+        return parseVersions(body);
+    }
+
+    PlatformInstances parseInstances(std::string_view body) const override
+    {
+        const auto root = detail::parseObject(body);
+        PlatformInstances list{detail::numberIn(root, "version"), {}, {}};
+        for (const auto &each : detail::arrayIn(root, "instances")) {
+            addInstance(detail::objectOf(each, "an instance"), list);
+        }
+        return list;
+    }
+};
+
+const Registration<PlatformDialect, LsparV1Platform> registration("lspar-v1");
+
+} // namespace
+
+} // namespace laburnumspar
--- /dev/null
+++ b/tests/test_platformdialect.cpp
@@ -0,0 +1,76 @@
+#include "laburnumspar/platformdialect.h"
+
+#include "laburnumspar/errors.h"
+#include "laburnumspar/plugin.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspar;
+
+namespace {
+
+struct Fixture {
+    std::unique_ptr<PlatformDialect> dialect = Registry<PlatformDialect>::global().make("lspar-v1");
+};
+
+} // namespace
+
+// Guards against targets that the platform reads as something else.
+BOOST_FIXTURE_TEST_CASE(targetsAreEscaped, Fixture)
+{
+    BOOST_TEST(dialect->readTarget("/teams/a&b/services/c d") == "/v1/read?path=/teams/a%26b/services/c%20d");
+    BOOST_TEST(dialect->listTarget("/") == "/v1/list?prefix=/");
+    BOOST_TEST(dialect->watchTarget("/", 17, Milliseconds(30000)) == "/v1/watch?prefix=/&after=17&wait_ms=30000");
+    BOOST_TEST(dialect->instancesTarget() == "/v1/instances");
+}
+
+// Guards against fields that are swapped or lost between a reply and its typed form.
+BOOST_FIXTURE_TEST_CASE(repliesAreParsed, Fixture)
+{
+    const PlatformValue value{"/teams/a/services/b", 7, "floor = \"x\"\n"};
+    BOOST_TEST(
+        (dialect->parseValue(R"({"path":"/teams/a/services/b","version":7,"value":"floor = \"x\"\n"})") == value));
+    const std::string versions = R"({"version":9,"values":[{"path":"/a","version":8}]})";
+    const PlatformVersions expected{9, {{"/a", 8}}};
+    BOOST_TEST((dialect->parseList(versions) == expected));
+    BOOST_TEST((dialect->parseChanges(versions) == expected));
+    const auto list = dialect->parseInstances(R"({"version":3,"instances":[
+        {"kind":"entry","service":"","address":"10.0.0.1:7401","zone":"a","state":"starting"},
+        {"kind":"entry","address":"10.0.0.2:7401","zone":"b","state":"leaving"},
+        {"kind":"upstream","service":"orders","address":"[fd00::1]:80","zone":"a","state":"starting"}]})");
+    const std::vector<InstanceEntry> instances{{{"10.0.0.1", 7401}, "a", false}, {{"10.0.0.2", 7401}, "b", true}};
+    const std::vector<UpstreamEntry> upstreams{{{"fd00::1", 80}, "orders", "a", UpstreamPhase::Starting}};
+    BOOST_TEST(list.version == 3U);
+    BOOST_TEST((list.instances == instances));
+    BOOST_TEST((list.upstreams == upstreams));
+}
+
+// Guards against a reply that is damaged, or not from the platform at all, and yet has an effect.
+BOOST_FIXTURE_TEST_CASE(damagedRepliesAreRefused, Fixture)
+{
+    for (const auto *body : {"",
+                             "<html>",
+                             "[]",
+                             "{}",
+                             R"({"version":-1,"values":[],"instances":[]})",
+                             R"({"version":"1","values":[],"instances":[]})",
+                             R"({"version":1})",
+                             R"({"version":1,"values":[7],"instances":[7]})",
+                             R"({"version":1,"path":"/a","values":[{"path":"/a"}],"instances":[{"kind":"entry"}]})"}) {
+        BOOST_TEST_INFO(body);
+        BOOST_CHECK_THROW(dialect->parseValue(body), DecodeError);
+        BOOST_CHECK_THROW(dialect->parseList(body), DecodeError);
+        BOOST_CHECK_THROW(dialect->parseChanges(body), DecodeError);
+        BOOST_CHECK_THROW(dialect->parseInstances(body), DecodeError);
+    }
+    for (const auto *element :
+         {R"({"kind":"proxy","address":"10.0.0.1:1","zone":"a","state":"live"})",
+          R"({"kind":"upstream","service":"a b","address":"10.0.0.1:1","zone":"a","state":"live"})",
+          R"({"kind":"upstream","address":"10.0.0.1:1","zone":"a","state":"live"})",
+          R"({"kind":"entry","address":"10.0.0.1:1","zone":"a","state":"gone"})",
+          R"({"kind":"entry","address":"example:1","zone":"a","state":"live"})"}) {
+        const auto body = std::string(R"({"version":1,"instances":[)") + element + "]}";
+        BOOST_TEST_INFO(body);
+        BOOST_CHECK_THROW(dialect->parseInstances(body), DecodeError);
+    }
+}
