lspar-platform: add the stand-in of the configuration platform

Cause: the settings path has to be run against a platform that changes, goes away, hangs and turns stale, without any outside service. Ruled out: listening on other than loopback addresses, since the control endpoints need no permission. Polling inside a watch was ruled out too: a change wakes all pending watches, so that they end without a delay.

--- /dev/null
+++ b/tools/lspar-platform/valuefiles.cpp
@@ -0,0 +1,89 @@
+#include "valuefiles.h"
+
+#include "detail/jsonfields.h"
+#include "laburnumspar/errors.h"
+
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace laburnumspar::platform {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string readFile(const fs::path &file)
+{
+    std::ifstream in(file, std::ios::binary);
+    std::ostringstream text;
+    text << in.rdbuf();
+    if (!in) {
+        throw SettingsError(file.string(), "file", 0, "a file that can be read is allowed");
+    }
+    return std::move(text).str();
+}
+
+std::map<std::string, std::string> readTree(const fs::path &folder)
+{
+    std::map<std::string, std::string> values;
+    for (auto it = fs::recursive_directory_iterator(folder); it != fs::recursive_directory_iterator(); ++it) {
+        const auto &file = it->path();
+        if (file.filename().string().starts_with('.')) {
+            it.disable_recursion_pending();
+        } else if (it->is_regular_file()) {
+            auto name = fs::relative(file, folder);
+            if (name.extension() == ".toml") {
+                name.replace_extension();
+            }
+            values['/' + name.generic_string()] = readFile(file);
+        }
+    }
+    return values;
+}
+
+std::map<std::string, std::string> readTable(const fs::path &file)
+{
+    std::map<std::string, std::string> values;
+    toml::table table;
+    try {
+        table = toml::parse(readFile(file), file.string());
+    } catch (const toml::parse_error &e) {
+        throw SettingsError(file.string(), "syntax", e.source().begin.line, std::string(e.description()));
+    }
+    for (const auto &[key, node] : table) {
+        const auto *text = node.as_string();
+        if (!text || !key.str().starts_with('/')) {
+            throw SettingsError(file.string(),
+                                std::string(key.str()),
+                                node.source().begin.line,
+                                "a path that begins with '/' and a string as its value are allowed");
+        }
+        values[std::string(key.str())] = text->get();
+    }
+    return values;
+}
+
+} // namespace
+
+std::map<std::string, std::string> readValues(const fs::path &source)
+{
+    return fs::is_directory(source) ? readTree(source) : readTable(source);
+}
+
+boost::json::array readInstances(const fs::path &file)
+{
+    try {
+        return parseInstances(readFile(file));
+    } catch (const DecodeError &e) {
+        throw SettingsError(file.string(), "instances", 0, e.what());
+    }
+}
+
+boost::json::array parseInstances(std::string_view text)
+{
+    return detail::arrayIn(detail::parseObject(text), "instances");
+}
+
+} // namespace laburnumspar::platform
