dispatcher: decide starts and refusals of one service

Cause: a dispatcher has to choose which waiting request gets the next slot, refuse early what cannot meet its deadline, share the slots between teams and keep long work from blocking short work. Ruled out: a class change on declared classes alone, since undeclared long routes would hold all slots; an arithmetic mean as the usual time of a class, which 5% of requests at 100 times the time raise six-fold; sums of estimated times in the queues, which go stale when the upstreams slow down (counts times the current mean do not).

--- /dev/null
+++ b/include/laburnumspar/retrybudget.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "laburnumspar/types.h"
+
+#include <array>
+#include <cstdint>
+
+namespace laburnumspar {
+
+/// Limits retries to a share of the first attempts over a sliding window, plus a small reserve.
+class RetryBudget
+{
+public:
+    static constexpr Milliseconds DefaultWindow{10'000};
+    static constexpr unsigned DefaultReserve = 3;
+
+    /// `share`: retries per first attempt, 0 or more. `reserve`: retries per window that need no attempts.
+    explicit RetryBudget(double share, Milliseconds window = DefaultWindow, unsigned reserve = DefaultReserve);
+
+    /// Counts a first attempt.
+    void noteAttempt(TimePoint now);
+    /// Takes one retry out of the budget; false if it is spent.
+    bool trySpend(TimePoint now);
+
+private:
+    struct Counts {
+        std::uint64_t attempts = 0;
+        std::uint64_t retries = 0;
+    };
+
+    void advance(TimePoint now);
+
+    static constexpr std::size_t Steps = 20;
+    double m_share;
+    Clock::duration m_stepLength;
+    unsigned m_reserve;
+    std::array<Counts, Steps> m_steps;
+    Counts m_total;
+    std::int64_t m_step = 0;
+    bool m_begun = false;
+};
+
+} // namespace laburnumspar
--- /dev/null
+++ b/src/detail/classestimator.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "laburnumspar/dispatcher.h"
+
+#include <list>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace laburnumspar::detail {
+
+/// Mean and mean deviation of execution times, weighted towards recent ones. Microseconds.
+class RunTimeAverage
+{
+public:
+    void add(double us);
+    double mean() const
+    {
+        return m_mean;
+    }
+    double deviation() const
+    {
+        return m_deviation;
+    }
+    /// Exceeded by about one execution in ten.
+    double upper() const
+    {
+        return m_mean + 2 * m_deviation;
+    }
+    unsigned samples() const
+    {
+        return m_samples;
+    }
+
+private:
+    double m_mean = 0;
+    double m_deviation = 0;
+    unsigned m_samples = 0;
+};
+
+/// Execution times by route and class, and the class of a route as learned from them.
+class ClassEstimator
+{
+public:
+    explicit ClassEstimator(std::size_t maxRoutes);
+
+    WorkClass classify(const std::string &route, WorkClass declared) const;
+    /// An execution that ended.
+    void record(const std::string &route, WorkClass declared, WorkClass ranAs, Microseconds runTime, TimePoint now);
+    /// An execution that was cut short after this time, or is still running.
+    void
+    recordAtLeast(const std::string &route, WorkClass declared, WorkClass ranAs, Microseconds runTime, TimePoint now);
+    /// A request of the route ran over; the route counts as long until its executions show otherwise.
+    void markLong(const std::string &route, Microseconds soFar, TimePoint now);
+
+    /// Execution time of the route, or of the class while the route is unknown. Has no samples if nothing is known.
+    const RunTimeAverage &runTime(const std::string &route, WorkClass workClass) const;
+    /// Geometric mean of the class; 0 until there are enough samples.
+    Microseconds usual(WorkClass workClass) const;
+    /// True once a second for a route without recent samples: an estimate that refuses all work is never corrected.
+    bool takeTrial(const std::string &route, TimePoint now);
+    std::vector<RouteDump> routes() const;
+
+    /// A class overrun, or the border between the classes: this many times the usual short execution time.
+    static constexpr double OverrunFactor = 10;
+
+private:
+    struct Route {
+        std::string name;
+        RunTimeAverage runTime;
+        std::optional<WorkClass> learned;
+        TimePoint lastSample;
+    };
+    struct Usual {
+        double logMean = 0;
+        unsigned samples = 0;
+    };
+
+    Route &touch(const std::string &name);
+    const Route *find(const std::string &name) const;
+    void relearn(Route &route) const;
+
+    std::size_t m_maxRoutes;
+    std::list<Route> m_routes; // most recently used first
+    std::unordered_map<std::string, std::list<Route>::iterator> m_byName;
+    RunTimeAverage m_classes[2];
+    Usual m_usual[2];
+};
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/detail/dispatcherprivate.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "detail/classestimator.h"
+#include "detail/fairqueue.h"
+#include "detail/slottable.h"
+#include "laburnumspar/dispatcher.h"
+
+#include <boost/circular_buffer.hpp>
+
+#include <set>
+#include <unordered_map>
+
+namespace laburnumspar {
+
+/// State of a dispatcher: admission in dispatcher.cpp, the choice of the next item in detail/dispatcherstart.cpp.
+class Dispatcher::Private
+{
+public:
+    using Decisions = std::vector<Decision>;
+
+    explicit Private(const Builder &builder);
+
+    void setUpstreams(std::vector<UpstreamCapacity> upstreams, TimePoint now);
+    Decisions submit(WorkItem item, TimePoint now);
+    Decisions finish(std::uint64_t ticket, const Completion &completion, TimePoint now);
+    Decisions cancel(std::uint64_t ticket, TimePoint now);
+    Decisions poll(TimePoint now);
+    DispatcherLoad load() const;
+    bool retriesAllowed() const;
+    DispatcherDump dump() const;
+
+private:
+    struct Entry {
+        WorkItem item;
+        WorkClass workClass = WorkClass::Short; ///< as learned
+        detail::Team *team = nullptr;
+        detail::QueueKey key;
+        detail::Slot *slot = nullptr; ///< null while it waits
+        TimePoint submittedAt;
+        TimePoint startedAt;
+        double costUs = 0; ///< slot time charged to the team
+        bool trial = false; ///< runs although its usual execution time exceeds its deadline
+        bool cancelled = false;
+    };
+    using Entries = std::unordered_map<std::uint64_t, Entry>;
+
+    TimePoint advance(TimePoint now, bool force = false);
+
+    // Admission.
+    Reason admit(Entry &entry, TimePoint now);
+    Reason admitToQueue(const Entry &entry, TimePoint now) const;
+    bool makeRoom(const detail::Team &team, TimePoint now, Decisions &decisions);
+    double classSlots(WorkClass workClass, TimePoint now) const;
+    detail::DrainRate drainRate(const detail::Team &team, WorkClass workClass, TimePoint now) const;
+    std::uint32_t estimatedWaitUs(WorkClass workClass) const;
+
+    // Start and refusal.
+    void startWaiting(TimePoint now, Decisions &decisions);
+    bool decideNext(TimePoint now, Decisions &decisions);
+    bool decideFor(detail::Team &team, WorkClass workClass, TimePoint now, Decisions &decisions);
+    void start(Entry &entry, detail::Slot &slot, TimePoint now, Decisions &decisions);
+    void refuse(Entries::iterator it, Reason reason, TimePoint now, Decisions &decisions);
+    Reason hopeless(const Entry &entry, TimePoint now) const;
+    void note(const Entry &entry, const Decision &decision, TimePoint now, Decisions &decisions);
+
+    // What time changes.
+    void countOverruns(TimePoint now);
+    void refuseUnusable(TimePoint now, Decisions &decisions);
+    void refuseExpired(TimePoint now, Decisions &decisions);
+    void refuseSurplus(TimePoint now, Decisions &decisions);
+    void learn(const Entry &entry, const Completion &completion, Microseconds held, TimePoint now);
+
+    std::string m_service;
+    unsigned m_queueLimit;
+    detail::SlotTable m_slots;
+    detail::FairQueue m_queue;
+    detail::ClassEstimator m_estimator;
+    detail::SlotMeter m_slotMeter; // slots that were usable of late
+    Entries m_entries;
+    std::set<std::pair<TimePoint, std::uint64_t>> m_startedShort; // by start time
+    boost::circular_buffer<DecisionDump> m_recent;
+    std::uint64_t m_sequence = 0;
+    TimePoint m_now;
+};
+
+} // namespace laburnumspar
--- /dev/null
+++ b/src/detail/fairqueue.cpp
@@ -0,0 +1,219 @@
+#include "detail/fairqueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+// Follows a change of load within a second without reacting to single requests.
+constexpr double MeterTimeUs = 300'000;
+// A weight of zero would never be served.
+constexpr double MinWeight = 0.001;
+// Until a team has this many samples, the slot time of the whole class is the better estimate.
+constexpr unsigned EnoughSamples = 8;
+// Idle teams are kept up to this number: forgetting one costs a scan.
+constexpr std::size_t IdleTeamsKept = 256;
+
+std::size_t index(WorkClass workClass)
+{
+    return static_cast<std::size_t>(workClass);
+}
+
+} // namespace
+
+void SlotMeter::add(int slots, TimePoint now)
+{
+    m_average = average(now);
+    m_at = std::max(m_at, now);
+    m_held += slots;
+}
+
+double SlotMeter::average(TimePoint now) const
+{
+    const double us = std::chrono::duration<double, std::micro>(std::max(now, m_at) - m_at).count();
+    return m_held + (m_average - m_held) * std::exp(-us / MeterTimeUs);
+}
+
+bool FairQueue::DueFirst::operator()(const Team *a, const Team *b) const
+{
+    return std::pair(a->virtualTime, a->number) < std::pair(b->virtualTime, b->number);
+}
+
+FairQueue::FairQueue(std::map<std::string, double> shares)
+    : m_shares(std::move(shares))
+{
+}
+
+Team &FairQueue::team(const std::string &name)
+{
+    std::unique_ptr<Team> &team = m_teams[name];
+    if (!team) {
+        const auto share = m_shares.find(name);
+        team = std::make_unique<Team>();
+        team->name = name;
+        team->number = m_nextNumber++;
+        team->weight = share == m_shares.end() ? 1 : std::max(share->second, MinWeight);
+        team->virtualTime = m_virtualTime;
+    }
+    return *team;
+}
+
+void FairQueue::push(Team &team, WorkClass workClass, const QueueKey &key, std::uint64_t ticket)
+{
+    if (team.queued() == 0) {
+        // Time without waiting work gives no claim to slots later on.
+        team.virtualTime = std::max(team.virtualTime, m_virtualTime);
+    }
+    team.queues[index(workClass)].insert(key, ticket);
+    m_backlog[index(workClass)].insert(&team);
+    ++m_sizes[index(workClass)];
+    ++m_size;
+    updateActive(team);
+}
+
+void FairQueue::erase(Team &team, WorkClass workClass, const QueueKey &key)
+{
+    DeadlineQueue &queue = team.queues[index(workClass)];
+    const std::size_t before = queue.size();
+    queue.erase(key);
+    m_sizes[index(workClass)] -= before - queue.size();
+    m_size -= before - queue.size();
+    if (queue.empty()) {
+        m_backlog[index(workClass)].erase(&team);
+    }
+    updateActive(team);
+}
+
+void FairQueue::start(Team &team, WorkClass workClass, double costUs, TimePoint now)
+{
+    // A team whose long work waited for a long slot has not earned all the slots it did not use meanwhile.
+    const double lag = m_virtualTime - costUs / team.weight - team.virtualTime;
+    if (lag > 0) {
+        charge(team, lag * team.weight);
+    }
+    m_virtualTime = std::max(m_virtualTime, team.virtualTime);
+    charge(team, costUs);
+    team.meters[index(workClass)].add(1, now);
+    m_meters[index(workClass)].add(1, now);
+    updateActive(team);
+}
+
+void FairQueue::finish(Team &team, WorkClass workClass, double costUs, double heldUs, TimePoint now)
+{
+    charge(team, heldUs - costUs);
+    team.meters[index(workClass)].add(-1, now);
+    m_meters[index(workClass)].add(-1, now);
+    team.slotTime[index(workClass)].add(heldUs);
+    m_slotTime[index(workClass)].add(heldUs);
+    updateActive(team);
+}
+
+void FairQueue::reclassify(Team &team, TimePoint now)
+{
+    for (auto *meters : {&team.meters, &m_meters}) {
+        (*meters)[index(WorkClass::Short)].add(-1, now);
+        (*meters)[index(WorkClass::Long)].add(1, now);
+    }
+}
+
+std::vector<Team *> FairQueue::backlogged(WorkClass workClass, std::size_t limit) const
+{
+    const Backlog &backlog = m_backlog[index(workClass)];
+    std::vector<Team *> teams;
+    for (auto it = backlog.begin(); it != backlog.end() && teams.size() < limit; ++it) {
+        teams.push_back(*it);
+    }
+    return teams;
+}
+
+double FairQueue::startInterval(const Team &team, WorkClass workClass, double slots, TimePoint now) const
+{
+    const std::size_t n = index(workClass);
+    // The team gets what the others leave, and at least its share.
+    const double others = std::max(0.0, m_meters[n].average(now) - team.meters[n].average(now));
+    const double share = slots * team.weight / activeWeightWith(team);
+    return slotTime(team, workClass) / std::max(share, slots - others);
+}
+
+double FairQueue::slotTime(const Team &team, WorkClass workClass) const
+{
+    const RunTimeAverage &own = team.slotTime[index(workClass)];
+    return own.samples() >= EnoughSamples ? own.mean() : slotTime(workClass);
+}
+
+double FairQueue::slotTime(WorkClass workClass) const
+{
+    return m_slotTime[index(workClass)].mean();
+}
+
+double FairQueue::averageHeld(WorkClass workClass, TimePoint now) const
+{
+    return m_meters[index(workClass)].average(now);
+}
+
+Team *FairQueue::mostQueued()
+{
+    Team *most = nullptr;
+    for (const Backlog &backlog : m_backlog) {
+        for (Team *team : backlog) {
+            if (!most || double(team->queued()) / team->weight > double(most->queued()) / most->weight) {
+                most = team;
+            }
+        }
+    }
+    return most;
+}
+
+bool FairQueue::overQueueShare(const Team &team, std::size_t queueLimit) const
+{
+    return double(team.queued() + 1) > double(queueLimit) * team.weight / activeWeightWith(team);
+}
+
+void FairQueue::dropIdle()
+{
+    if (m_teams.size() < m_activeTeams + IdleTeamsKept) {
+        return;
+    }
+    std::erase_if(m_teams, [this](const auto &entry) {
+        return !entry.second->active && entry.second->virtualTime <= m_virtualTime;
+    });
+}
+
+std::size_t FairQueue::size(WorkClass workClass) const
+{
+    return m_sizes[index(workClass)];
+}
+
+void FairQueue::charge(Team &team, double costUs)
+{
+    // The backlogs are sorted by virtual time.
+    std::array<bool, 2> waiting{};
+    for (std::size_t n = 0; n < 2; ++n) {
+        waiting[n] = m_backlog[n].erase(&team) > 0;
+    }
+    team.virtualTime += costUs / team.weight;
+    for (std::size_t n = 0; n < 2; ++n) {
+        if (waiting[n]) {
+            m_backlog[n].insert(&team);
+        }
+    }
+}
+
+void FairQueue::updateActive(Team &team)
+{
+    const bool active = team.queued() + team.running() > 0;
+    if (active != team.active) {
+        team.active = active;
+        m_activeTeams += active ? 1 : -1;
+        m_activeWeight = m_activeTeams == 0 ? 0 : m_activeWeight + (active ? team.weight : -team.weight);
+    }
+}
+
+double FairQueue::activeWeightWith(const Team &team) const
+{
+    return m_activeWeight + (team.active ? 0 : team.weight);
+}
+
+} // namespace laburnumspar::detail
