messages: add the codec with a digest over every message

Cause: instances exchange heartbeats, forwarded requests and settings, and must refuse what was garbled, cut or forged in shape. Ruled out: cereal's own string and vector formats, since they allocate the stated count before reading; Asio's address parser, which would link sockets into the fuzzers. Change: encode, decode and frameLength with cereal portable binary archives; lengths are bounded by the field limit and by the bytes left.

--- /dev/null
+++ b/src/detail/codec.h
@@ -0,0 +1,220 @@
+#pragma once
+
+#include "laburnumspar/errors.h"
+#include "laburnumspar/messages.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <istream>
+#include <ostream>
+#include <span>
+#include <streambuf>
+#include <string>
+#include <vector>
+
+// Archives over memory, and wrappers that bound what cereal itself reads without a limit: lengths of texts and lists.
+namespace laburnumspar::detail {
+
+class ReadBuffer : public std::streambuf
+{
+public:
+    explicit ReadBuffer(std::span<const std::uint8_t> bytes)
+    {
+        // streambuf has no const form; nothing writes to a get area.
+        auto *begin = const_cast<char *>(reinterpret_cast<const char *>(bytes.data()));
+        setg(begin, begin, begin + bytes.size());
+    }
+
+    std::size_t remaining() const
+    {
+        return static_cast<std::size_t>(egptr() - gptr());
+    }
+};
+
+class WriteBuffer : public std::streambuf
+{
+public:
+    explicit WriteBuffer(std::size_t prefix = 0)
+        : m_bytes(prefix)
+    {
+    }
+
+    std::vector<std::uint8_t> &bytes()
+    {
+        return m_bytes;
+    }
+
+protected:
+    int_type overflow(int_type c) override
+    {
+        if (!traits_type::eq_int_type(c, traits_type::eof())) {
+            m_bytes.push_back(static_cast<std::uint8_t>(c));
+        }
+        return traits_type::not_eof(c);
+    }
+
+    std::streamsize xsputn(const char *text, std::streamsize n) override
+    {
+        m_bytes.insert(m_bytes.end(), text, text + n);
+        return n;
+    }
+
+private:
+    std::vector<std::uint8_t> m_bytes;
+};
+
+using OutputArchive = cereal::PortableBinaryOutputArchive;
+using InputArchive = cereal::PortableBinaryInputArchive;
+
+/// Input archive that knows how many bytes are left.
+class BoundedInputArchive : public cereal::PortableBinaryInputArchive
+{
+public:
+    BoundedInputArchive(ReadBuffer &buf, std::istream &stream)
+        : cereal::PortableBinaryInputArchive(stream)
+        , m_buf(buf)
+    {
+    }
+
+    std::size_t remaining() const
+    {
+        return m_buf.remaining();
+    }
+
+private:
+    ReadBuffer &m_buf;
+};
+
+/// Bytes not yet read; cereal hands out the base, every input archive here is a BoundedInputArchive.
+inline std::size_t remaining(InputArchive &ar)
+{
+    return static_cast<BoundedInputArchive &>(ar).remaining();
+}
+
+/// A length is written in as few bytes as its limit needs.
+inline void saveLength(OutputArchive &ar, std::size_t length, std::size_t max)
+{
+    if (length > max) {
+        throw EncodeError("a text or list of " + std::to_string(length) + " exceeds its limit of "
+                          + std::to_string(max));
+    }
+    if (max <= 0xff) {
+        ar(static_cast<std::uint8_t>(length));
+    } else if (max <= 0xffff) {
+        ar(static_cast<std::uint16_t>(length));
+    } else {
+        ar(static_cast<std::uint32_t>(length));
+    }
+}
+
+template <typename Number>
+std::size_t loadNumber(InputArchive &ar)
+{
+    Number number = 0;
+    ar(number);
+    return number;
+}
+
+/// Each element takes at least one byte, so that a length beyond the end is refused before anything is allocated.
+inline std::size_t loadLength(InputArchive &ar, std::size_t max)
+{
+    const std::size_t length = max <= 0xff ? loadNumber<std::uint8_t>(ar)
+        : max <= 0xffff                    ? loadNumber<std::uint16_t>(ar)
+                                           : loadNumber<std::uint32_t>(ar);
+    if (length > max || length > remaining(ar)) {
+        throw DecodeError("a text or list of " + std::to_string(length) + " exceeds its limit or the message");
+    }
+    return length;
+}
+
+struct Text {
+    std::string &value;
+    std::size_t max;
+};
+
+inline void save(OutputArchive &ar, const Text &text)
+{
+    saveLength(ar, text.value.size(), text.max);
+    ar(cereal::binary_data(text.value.data(), text.value.size()));
+}
+
+inline void load(InputArchive &ar, Text &text)
+{
+    text.value.resize(loadLength(ar, text.max));
+    ar(cereal::binary_data(text.value.data(), text.value.size()));
+}
+
+template <typename T>
+struct List {
+    std::vector<T> &value;
+    std::size_t max;
+};
+
+template <typename T>
+void save(OutputArchive &ar, const List<T> &list)
+{
+    saveLength(ar, list.value.size(), list.max);
+    for (const auto &element : list.value) {
+        ar(element);
+    }
+}
+
+// Grows while elements decode; a false length fails at the end of the message instead of reserving memory for it.
+template <typename T>
+void load(InputArchive &ar, List<T> &list)
+{
+    const auto length = loadLength(ar, list.max);
+    list.value.clear();
+    for (std::size_t n = 0; n < length; ++n) {
+        ar(list.value.emplace_back());
+    }
+}
+
+template <typename E>
+E checkedEnum(std::size_t value)
+{
+    if (value >= EnumNames<E>::Names.size()) {
+        throw DecodeError("a value of " + std::to_string(value) + " is outside of its enumeration");
+    }
+    return static_cast<E>(value);
+}
+
+template <typename E>
+struct Enumerated {
+    E &value;
+};
+
+template <typename E>
+void save(OutputArchive &ar, const Enumerated<E> &enumerated)
+{
+    ar(static_cast<std::uint8_t>(enumerated.value));
+}
+
+template <typename E>
+void load(InputArchive &ar, Enumerated<E> &enumerated)
+{
+    enumerated.value = checkedEnum<E>(loadNumber<std::uint8_t>(ar));
+}
+
+/// cereal copies the raw byte into a bool, which is undefined behaviour for any other than 0 and 1.
+struct Flag {
+    bool &value;
+};
+
+inline void save(OutputArchive &ar, const Flag &flag)
+{
+    ar(static_cast<std::uint8_t>(flag.value));
+}
+
+inline void load(InputArchive &ar, Flag &flag)
+{
+    const auto value = loadNumber<std::uint8_t>(ar);
+    if (value > 1) {
+        throw DecodeError("a flag is neither 0 nor 1");
+    }
+    flag.value = value == 1;
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/messages.cpp
@@ -0,0 +1,173 @@
+#include "laburnumspar/messages.h"
+
+#include "detail/messagefields.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <utility>
+
+namespace laburnumspar {
+
+namespace {
+
+constexpr std::uint32_t Magic = 0x5250534c; // "LSPR"
+constexpr std::uint8_t ProtocolVersion = 1;
+constexpr std::size_t DigestOffset = 10;
+
+struct Prefix {
+    std::uint8_t kind = 0;
+    std::uint32_t length = 0; ///< bytes after the prefix
+    std::uint64_t digest = 0;
+};
+
+template <typename Number>
+void putLittleEndian(std::uint8_t *to, Number number)
+{
+    for (std::size_t n = 0; n < sizeof(Number); ++n) {
+        to[n] = static_cast<std::uint8_t>(number >> (8 * n));
+    }
+}
+
+template <typename Number>
+Number takeLittleEndian(const std::uint8_t *from)
+{
+    Number number = 0;
+    for (std::size_t n = 0; n < sizeof(Number); ++n) {
+        number |= static_cast<Number>(from[n]) << (8 * n);
+    }
+    return number;
+}
+
+// Covers the kind as well, so that a message is never read as one of another kind.
+std::uint64_t digestOf(std::uint8_t kind, std::span<const std::uint8_t> payload)
+{
+    return XXH3_64bits_withSeed(payload.data(), payload.size(), ProtocolVersion << 8 | kind);
+}
+
+std::size_t limitOf(std::size_t kind)
+{
+    return kind == 0 ? MaxDatagramBytes : MaxFrameBytes;
+}
+
+Prefix readPrefix(std::span<const std::uint8_t> bytes)
+{
+    if (bytes.size() < FramePrefixBytes) {
+        throw DecodeError("shorter than a message header");
+    }
+    if (takeLittleEndian<std::uint32_t>(bytes.data()) != Magic) {
+        throw DecodeError("not a message of the fleet");
+    }
+    if (bytes[4] != ProtocolVersion) {
+        throw DecodeError("protocol version " + std::to_string(bytes[4]) + " is not supported");
+    }
+    Prefix prefix;
+    prefix.kind = bytes[5];
+    prefix.length = takeLittleEndian<std::uint32_t>(bytes.data() + 6);
+    prefix.digest = takeLittleEndian<std::uint64_t>(bytes.data() + DigestOffset);
+    if (prefix.kind >= std::variant_size_v<Message>) {
+        throw DecodeError("unknown kind of message");
+    }
+    if (prefix.length > limitOf(prefix.kind) - FramePrefixBytes) {
+        throw DecodeError("message exceeds the limit of its kind");
+    }
+    return prefix;
+}
+
+template <std::size_t Kind>
+Message loadMessage(detail::InputArchive &ar)
+{
+    std::variant_alternative_t<Kind, Message> message;
+    ar(message);
+    return message;
+}
+
+template <std::size_t... Kinds>
+Message loadMessage(detail::InputArchive &ar, std::size_t kind, std::index_sequence<Kinds...>)
+{
+    using Loader = Message (*)(detail::InputArchive &);
+    constexpr std::array<Loader, sizeof...(Kinds)> Loaders{&loadMessage<Kinds>...};
+    return Loaders[kind](ar);
+}
+
+template <typename T>
+std::size_t measure(const T &save)
+{
+    detail::WriteBuffer buf;
+    std::ostream stream(&buf);
+    detail::OutputArchive ar(stream);
+    const auto before = buf.bytes().size();
+    save(ar);
+    return buf.bytes().size() - before;
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode(const Envelope &envelope, const Message &message)
+{
+    detail::WriteBuffer buf(FramePrefixBytes);
+    std::ostream stream(&buf);
+    detail::OutputArchive ar(stream, detail::OutputArchive::Options::LittleEndian());
+    ar(envelope);
+    std::visit([&ar](const auto &body) { ar(body); }, message);
+    auto &bytes = buf.bytes();
+    if (bytes.size() > limitOf(message.index())) {
+        throw EncodeError("message of " + std::to_string(bytes.size()) + " bytes exceeds the limit of its kind");
+    }
+    const auto kind = static_cast<std::uint8_t>(message.index());
+    const auto payload = std::span(bytes).subspan(FramePrefixBytes);
+    putLittleEndian(bytes.data(), Magic);
+    bytes[4] = ProtocolVersion;
+    bytes[5] = kind;
+    putLittleEndian(bytes.data() + 6, static_cast<std::uint32_t>(payload.size()));
+    putLittleEndian(bytes.data() + DigestOffset, digestOf(kind, payload));
+    return std::move(bytes);
+}
+
+DecodedMessage decode(std::span<const std::uint8_t> bytes)
+{
+    const auto prefix = readPrefix(bytes);
+    const auto payload = bytes.subspan(FramePrefixBytes);
+    if (payload.size() != prefix.length) {
+        throw DecodeError(payload.size() < prefix.length ? "message is truncated" : "bytes follow the message");
+    }
+    if (digestOf(prefix.kind, payload) != prefix.digest) {
+        throw DecodeError("digest does not match");
+    }
+    detail::ReadBuffer buf(payload);
+    std::istream stream(&buf);
+    try {
+        detail::BoundedInputArchive ar(buf, stream);
+        DecodedMessage decoded;
+        ar(decoded.envelope);
+        decoded.message = loadMessage(ar, prefix.kind, std::make_index_sequence<std::variant_size_v<Message>>());
+        if (buf.remaining() != 0) {
+            throw DecodeError("bytes follow the last field");
+        }
+        return decoded;
+    } catch (const cereal::Exception &exception) {
+        throw DecodeError(exception.what());
+    }
+}
+
+std::size_t frameLength(std::span<const std::uint8_t> prefix)
+{
+    return FramePrefixBytes + readPrefix(prefix).length;
+}
+
+std::size_t encodedBytes(const MemberRecord &record)
+{
+    return measure([&record](auto &ar) { detail::saveRecord(ar, record, 0); });
+}
+
+std::size_t encodedBytes(const PublishedState &state)
+{
+    return measure([&state](auto &ar) { ar(state); });
+}
+
+std::size_t encodedBytes(const SettingsVersion &version)
+{
+    return measure([&version](auto &ar) { ar(version); });
+}
+
+} // namespace laburnumspar
