--- /dev/null
+++ b/include/laburnumspar/requestid.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "laburnumspar/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace laburnumspar {
+
+/// Identifier of a request that must not be repeated; only its owner may let the request run.
+struct RequestId {
+    InstanceId owner;
+    std::uint64_t incarnation = 0; ///< start time of the owner's process
+    std::uint64_t sequence = 0; ///< see requestSequence()
+
+    auto operator<=>(const RequestId &) const = default;
+};
+
+/// Identifiers that one process may issue in one second.
+inline constexpr std::uint64_t MaxIssuedPerSecond = 1U << 20U;
+
+/// A sequence number tells when it was issued: seconds since the owner started, and a count within the second.
+constexpr std::uint64_t requestSequence(std::uint64_t second, std::uint64_t count)
+{
+    return second * MaxIssuedPerSecond + count;
+}
+
+constexpr std::uint64_t issuedSecond(std::uint64_t sequence)
+{
+    return sequence / MaxIssuedPerSecond;
+}
+
+constexpr std::uint64_t issuedCount(std::uint64_t sequence)
+{
+    return sequence % MaxIssuedPerSecond;
+}
+
+/// Base64 text with a checksum, for an HTTP header: 36 characters, or 52 with an IPv6 owner. Throws EncodeError if the
+/// owner is not an IP address.
+std::string toString(const RequestId &id);
+
+/// Empty if the text is not exactly what toString() returns for some identifier.
+std::optional<RequestId> parseRequestId(std::string_view text);
+
+} // namespace laburnumspar
