--- a/include/laburnumspar/membership.h
+++ b/include/laburnumspar/membership.h
@@ -115,7 +115,7 @@
 private:
     class Private;
     explicit Membership(std::unique_ptr<Private> d);
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 class Membership::Builder
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Every run checks the same cases unless RC_PARAMS names another seed.
-[[maybe_unused]] const int seeded = setenv("RC_PARAMS", "seed=1", 0);
+[[maybe_unused]] const int seeded = setenv("RC_PARAMS", "seed=1 max_success=1000", 0);
 
 const Envelope sender{{"10.0.0.1", 7000}, 1700000000000, 42};
 
