tools: add scenario parser, outcome checker and load statistics

Cause: the load tool needs scenarios that name load as a share of the slots, and checks of the callers' promises that are tested apart from any socket. Ruled out: rates only, since the same scenario then cannot be used for pools of different sizes; judging detection by the first empty second, since a black-holed upstream whose slots are all taken looks avoided until its requests time out. Change: parseScenario with errors that name key and line, judgeAnswer and checkOutcomes, phase results, detection time and bounds. Conclusion: the load tool has only to send requests and to print.

--- /dev/null
+++ b/src/detail/loadstats.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "detail/outcomecheck.h"
+#include "detail/scenario.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace laburnumspar::detail {
+
+/// Quantiles of a set of times, in milliseconds; 0 without any.
+struct TimeQuantiles {
+    std::uint64_t count = 0;
+    double p50 = 0;
+    double p99 = 0;
+    double p999 = 0;
+};
+
+TimeQuantiles quantiles(std::vector<std::chrono::nanoseconds> times);
+
+/// Counts of requests by what became of them.
+struct OutcomeCounts {
+    std::uint64_t offered = 0;
+    std::uint64_t good = 0; ///< answered within the deadline
+    std::uint64_t late = 0; ///< answered after it
+    std::array<std::uint64_t, EnumNames<CallerOutcome>::Names.size()> byOutcome{};
+
+    void add(const RequestRecord &record);
+    std::uint64_t of(CallerOutcome outcome) const
+    {
+        return byOutcome[static_cast<std::size_t>(outcome)];
+    }
+    /// Requests whose fate the caller does not know.
+    std::uint64_t unknown() const;
+};
+
+struct PhaseResult {
+    std::string name;
+    bool measured = true;
+    double seconds = 0;
+    double servable = 0; ///< requests per second
+    double goodputShare = 0; ///< of the smaller of offered load and what the slots can serve
+    OutcomeCounts counts;
+    TimeQuantiles shortTimes; ///< answered requests
+    TimeQuantiles longTimes;
+    TimeQuantiles refusalTimes; ///< requests told "not run"
+    TimeQuantiles lag; ///< of the load tool behind its own schedule
+};
+
+struct SecondResult {
+    OutcomeCounts counts;
+    TimeQuantiles shortTimes;
+};
+
+/// Requests belong to the phase of their scheduled arrival.
+std::vector<PhaseResult> phaseResults(const Scenario &scenario, const std::vector<RequestRecord> &records);
+
+std::vector<SecondResult> secondResults(const Scenario &scenario, const std::vector<RequestRecord> &records);
+
+/// Work received by each upstream per bucket of `bucket` length.
+struct WorkSeries {
+    Milliseconds bucket{100};
+    std::vector<std::vector<std::uint32_t>> received;
+};
+
+/// Time from the fault until 99% of new work avoids the upstream: the first moment from which both the next second
+/// and the rest of the time until `end` bring it at most 1% of the work. Empty if there is none.
+std::optional<Milliseconds>
+detectionTime(const WorkSeries &series, std::size_t upstream, Milliseconds fault, Milliseconds end);
+
+/// A fault that was posted, for one upstream.
+struct DetectionResult {
+    std::string kind;
+    std::size_t upstream = 0;
+    std::optional<Milliseconds> time;
+};
+
+/// Texts of the bounds that were missed; empty if all were kept.
+std::vector<std::string> missedBounds(const ScenarioBounds &bounds,
+                                      const std::vector<PhaseResult> &phases,
+                                      const std::vector<DetectionResult> &detections);
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/detail/scenario.cpp
@@ -0,0 +1,274 @@
+#include "detail/scenario.h"
+
+#include "detail/scenariotable.h"
+#include "laburnumspar/errors.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+constexpr NumberRange Share{0, 1};
+constexpr NumberRange Positive{0.001};
+constexpr NumberRange AtLeastOne{1};
+constexpr NumberRange NotNegative{0};
+
+constexpr std::array<std::string_view, 11> FaultKinds{
+    "none", "slow", "blackhole", "failwork", "flap", "wrong", "truncate", "shed", "refuse", "drain", "cold"};
+
+/// Tables of the array `key`; each one must be a table.
+std::vector<const toml::table *> tablesOf(const toml::table &root, const char *key, const std::string &file)
+{
+    std::vector<const toml::table *> tables;
+    const auto *node = root.get(key);
+    if (!node) {
+        return tables;
+    }
+    if (!node->is_array_of_tables()) {
+        throw SettingsError(file, key, node->source().begin.line, std::string("sections [[") + key + "]]");
+    }
+    for (const auto &each : *node->as_array()) {
+        tables.push_back(each.as_table());
+    }
+    return tables;
+}
+
+/// The table `key`, or an empty one.
+const toml::table &tableOf(const toml::table &root, const char *key, const std::string &file)
+{
+    static const toml::table empty;
+    const auto *node = root.get(key);
+    if (node && !node->is_table()) {
+        throw SettingsError(file, key, node->source().begin.line, std::string("a section [") + key + "]");
+    }
+    return node ? *node->as_table() : empty;
+}
+
+ScenarioPool readPool(const toml::table &source, const std::string &file)
+{
+    ScenarioPool pool;
+    ScenarioTable table(source, file, "upstreams");
+    for (const auto *key : {"count", "slots", "zones"}) {
+        table.require(key);
+    }
+    table.read("count", pool.count, AtLeastOne);
+    table.read("slots", pool.slots, AtLeastOne);
+    table.read("connections", pool.connections, AtLeastOne);
+    table.read("zones", pool.zones);
+    table.finish();
+    return pool;
+}
+
+ScenarioCallers readCallers(const toml::table &source, const std::string &file)
+{
+    ScenarioCallers callers;
+    ScenarioTable table(source, file, "callers");
+    table.read("count", callers.count, AtLeastOne);
+    table.read("addresses", callers.addresses, AtLeastOne);
+    table.finish();
+    return callers;
+}
+
+ScenarioMix readMix(const toml::table &source, const std::string &file)
+{
+    ScenarioMix mix;
+    ScenarioTable table(source, file, "mix");
+    table.require("service");
+    table.require("team");
+    table.read("service", mix.service);
+    table.read("team", mix.team);
+    table.read("weight", mix.weight, Positive);
+    table.read("long_share", mix.longShare, Share);
+    table.read("run_ms", mix.runMs, Positive);
+    table.read("long_run_ms", mix.longRunMs, Positive);
+    table.read("non_idempotent_share", mix.nonIdempotentShare, Share);
+    table.read("deadline_ms", mix.deadline, AtLeastOne);
+    table.read("long_deadline_ms", mix.longDeadline, AtLeastOne);
+    table.read("answer_size", mix.answerSize, NotNegative);
+    table.finish();
+    return mix;
+}
+
+/// Reads the phase; its load, a share of what the slots serve, becomes a rate.
+ScenarioPhase readPhase(const toml::table &source, const std::string &file, const Scenario &scenario)
+{
+    ScenarioPhase phase;
+    ScenarioTable table(source, file, "phase");
+    std::optional<double> load;
+    std::optional<double> loadEnd;
+    std::optional<double> rate;
+    std::optional<double> rateEnd;
+    table.require("name");
+    table.require("duration_ms");
+    table.read("name", phase.name);
+    table.read("duration_ms", phase.duration, AtLeastOne);
+    table.read("rate", rate, NotNegative);
+    table.read("rate_end", rateEnd, NotNegative);
+    table.read("load", load, NotNegative);
+    table.read("load_end", loadEnd, NotNegative);
+    table.read("long_share", phase.longShare, Share);
+    table.read("measured", phase.measured);
+    table.finish();
+    if (rate.has_value() == load.has_value()) {
+        table.fail("rate", "exactly one of rate and load must be present");
+    }
+    if ((rateEnd && !rate) || (loadEnd && !load)) {
+        table.fail(rateEnd ? "rate_end" : "load_end", "allowed only with the start value of the same unit");
+    }
+    const double unit = load ? servableRate(scenario, phase) : 1;
+    phase.rateStart = load.value_or(rate.value_or(0)) * unit;
+    phase.rateEnd = loadEnd ? *loadEnd * unit : rateEnd.value_or(phase.rateStart);
+    return phase;
+}
+
+void checkTarget(const ScenarioFault &fault, const ScenarioPool &pool, const ScenarioTable &table)
+{
+    if (fault.upstream.empty() == fault.zone.empty()) {
+        table.fail("upstream", "exactly one of upstream and zone must be present");
+    }
+    if (!fault.zone.empty() && std::count(pool.zones.begin(), pool.zones.end(), fault.zone) == 0) {
+        table.fail("zone", "one of the zones of the upstreams");
+    }
+    if (fault.zone.empty() && fault.upstream != "all") {
+        const bool digits
+            = fault.upstream.size() < 7 && fault.upstream.find_first_not_of("0123456789") == std::string::npos;
+        if (!digits || std::stoul(fault.upstream) >= pool.count) {
+            table.fail("upstream", "\"all\" or an index below the number of upstreams, as text");
+        }
+    }
+}
+
+ScenarioFault readFault(const toml::table &source, const std::string &file, const Scenario &scenario)
+{
+    ScenarioFault fault;
+    ScenarioTable table(source, file, "fault");
+    table.require("at_ms");
+    table.require("kind");
+    table.read("at_ms", fault.at, NotNegative);
+    table.read("kind", fault.kind);
+    table.read("upstream", fault.upstream);
+    table.read("zone", fault.zone);
+    table.read("factor", fault.factor, Positive);
+    table.read("for_ms", fault.duration, NotNegative);
+    table.read("detect", fault.detect);
+    table.finish();
+    if (std::count(FaultKinds.begin(), FaultKinds.end(), fault.kind) == 0) {
+        table.fail("kind", "none, slow, blackhole, failwork, flap, wrong, truncate, shed, refuse, drain or cold");
+    }
+    if (fault.at >= scenario.duration()) {
+        table.fail("at_ms", "a time before the end of the last phase");
+    }
+    checkTarget(fault, scenario.pool, table);
+    return fault;
+}
+
+ScenarioBounds readBounds(const toml::table &source, const std::string &file)
+{
+    ScenarioBounds bounds;
+    ScenarioTable table(source, file, "bounds");
+    table.read("goodput_share_min", bounds.goodputShareMin, Share);
+    table.read("short_p99_ms_max", bounds.shortP99MsMax, NotNegative);
+    table.read("short_p99_ratio_max", bounds.shortP99RatioMax, NotNegative);
+    table.read("refusal_p99_ms_max", bounds.refusalP99MsMax, NotNegative);
+    table.read("may_have_run_share_max", bounds.mayHaveRunShareMax, Share);
+    table.read("detection_ms_max", bounds.detectionMsMax, NotNegative);
+    table.finish();
+    return bounds;
+}
+
+Scenario readScenario(const toml::table &root, const std::string &file)
+{
+    constexpr std::array<std::string_view, 7> sections{
+        "name", "upstreams", "callers", "mix", "phase", "fault", "bounds"};
+    for (const auto &[key, node] : root) {
+        if (std::count(sections.begin(), sections.end(), key.str()) == 0) {
+            throw SettingsError(file,
+                                std::string(key.str()),
+                                node.source().begin.line,
+                                "name and the sections upstreams, callers, mix, phase, fault and bounds");
+        }
+    }
+    Scenario scenario;
+    ScenarioTable table(root, file, "");
+    table.require("name");
+    table.read("name", scenario.name);
+    scenario.pool = readPool(tableOf(root, "upstreams", file), file);
+    scenario.callers = readCallers(tableOf(root, "callers", file), file);
+    for (const auto *each : tablesOf(root, "mix", file)) {
+        scenario.mix.push_back(readMix(*each, file));
+    }
+    if (scenario.mix.empty()) {
+        table.fail("mix", "at least one section [[mix]]");
+    }
+    for (const auto *each : tablesOf(root, "phase", file)) {
+        scenario.phases.push_back(readPhase(*each, file, scenario));
+    }
+    if (scenario.phases.empty()) {
+        table.fail("phase", "at least one section [[phase]]");
+    }
+    for (const auto *each : tablesOf(root, "fault", file)) {
+        scenario.faults.push_back(readFault(*each, file, scenario));
+    }
+    scenario.bounds = readBounds(tableOf(root, "bounds", file), file);
+    return scenario;
+}
+
+} // namespace
+
+Milliseconds Scenario::duration() const
+{
+    return std::accumulate(phases.begin(), phases.end(), Milliseconds{0}, [](Milliseconds sum, const auto &phase) {
+        return sum + phase.duration;
+    });
+}
+
+Scenario parseScenario(std::string_view text, const std::string &file)
+{
+    try {
+        return readScenario(toml::parse(text, file), file);
+    } catch (const toml::parse_error &error) {
+        throw SettingsError(file, "", error.source().begin.line, std::string(error.description()));
+    }
+}
+
+double servableRate(const Scenario &scenario, const ScenarioPhase &phase)
+{
+    double weights = 0;
+    double seconds = 0;
+    for (const auto &mix : scenario.mix) {
+        const double longShare = phase.longShare.value_or(mix.longShare);
+        weights += mix.weight;
+        seconds += mix.weight * ((1 - longShare) * mix.runMs + longShare * mix.longRunMs) / 1000;
+    }
+    return scenario.pool.count * scenario.pool.slots * weights / seconds;
+}
+
+std::size_t phaseAt(const Scenario &scenario, std::chrono::nanoseconds sinceStart)
+{
+    std::chrono::nanoseconds end{0};
+    for (std::size_t n = 0; n < scenario.phases.size(); ++n) {
+        end += scenario.phases[n].duration;
+        if (sinceStart < end) {
+            return n;
+        }
+    }
+    return scenario.phases.size() - 1;
+}
+
+double rateAt(const Scenario &scenario, std::chrono::nanoseconds sinceStart)
+{
+    std::chrono::nanoseconds begin{0};
+    for (const auto &phase : scenario.phases) {
+        if (sinceStart < begin + phase.duration) {
+            const auto part = std::chrono::duration<double>(sinceStart - begin) / phase.duration;
+            return phase.rateStart + (phase.rateEnd - phase.rateStart) * part;
+        }
+        begin += phase.duration;
+    }
+    return 0;
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/tests/test_loadstats.cpp
@@ -0,0 +1,105 @@
+#include "detail/loadstats.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspar;
+using namespace laburnumspar::detail;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Ten upstreams with 100 requests per bucket each; upstream 3 gets `rest` from bucket `from` on.
+WorkSeries seriesWith(std::size_t from, std::uint32_t rest)
+{
+    WorkSeries series{100ms, std::vector(10, std::vector<std::uint32_t>(60, 100))};
+    std::fill(series.received[3].begin() + static_cast<std::ptrdiff_t>(from), series.received[3].end(), rest);
+    return series;
+}
+
+Scenario onePhase()
+{
+    Scenario scenario;
+    scenario.pool = {1, 2, 10, {"a"}};
+    scenario.mix.push_back({"orders", "web"});
+    scenario.phases.push_back({"only", 1000ms, 100, 100, std::nullopt, true});
+    return scenario;
+}
+
+RequestRecord record(CallerOutcome outcome, std::chrono::nanoseconds latency)
+{
+    RequestRecord record;
+    record.outcome = outcome;
+    record.latency = latency;
+    record.deadline = 1000ms;
+    return record;
+}
+
+PhaseResult phase(double p99, double goodputShare)
+{
+    PhaseResult result;
+    result.name = "p";
+    result.shortTimes.p99 = p99;
+    result.goodputShare = goodputShare;
+    result.counts.offered = 10;
+    return result;
+}
+
+} // namespace
+
+// Guards against detection times that count a pause in the work, or a share that stays above 1%, as avoided.
+BOOST_AUTO_TEST_CASE(detectionNeedsLastingAvoidance)
+{
+    BOOST_CHECK(detectionTime(seriesWith(18, 0), 3, 1050ms, 6000ms) == 750ms);
+    BOOST_CHECK(detectionTime(seriesWith(18, 9), 3, 1050ms, 6000ms) == 750ms);
+    BOOST_CHECK(!detectionTime(seriesWith(18, 20), 3, 1050ms, 6000ms));
+    BOOST_CHECK(!detectionTime(seriesWith(60, 0), 3, 1050ms, 6000ms));
+    auto pause = seriesWith(10, 0);
+    std::fill(pause.received[3].begin() + 25, pause.received[3].end(), 100);
+    BOOST_CHECK(!detectionTime(pause, 3, 1000ms, 6000ms));
+    const WorkSeries idle{100ms, std::vector(10, std::vector<std::uint32_t>(60, 0))};
+    BOOST_CHECK(!detectionTime(idle, 3, 1050ms, 6000ms));
+}
+
+// Guards against late or refused requests in the goodput, and against quantiles off by one rank.
+BOOST_AUTO_TEST_CASE(goodputIsAnsweredInDeadline)
+{
+    const std::vector<RequestRecord> records{record(CallerOutcome::Answered, 10ms),
+                                             record(CallerOutcome::Answered, 1001ms),
+                                             record(CallerOutcome::NotRun, 2ms),
+                                             record(CallerOutcome::NoAnswer, 5ms)};
+    const auto result = phaseResults(onePhase(), records).at(0);
+    BOOST_TEST(result.counts.good == 1U);
+    BOOST_TEST(result.counts.late == 1U);
+    BOOST_TEST(result.counts.unknown() == 1U);
+    BOOST_TEST(result.goodputShare == 0.25);
+    BOOST_TEST(result.refusalTimes.p99 == 2);
+    BOOST_TEST(result.servable == 100);
+    std::vector<std::chrono::nanoseconds> times;
+    for (int ms = 1000; ms > 0; --ms) {
+        times.emplace_back(Milliseconds(ms));
+    }
+    const auto found = quantiles(times);
+    BOOST_TEST(found.p50 == 500);
+    BOOST_TEST(found.p99 == 990);
+    BOOST_TEST(found.p999 == 999);
+}
+
+// Guards against bounds that never fail: each is missed once and kept once.
+BOOST_AUTO_TEST_CASE(missedBoundsAreNamed)
+{
+    const std::vector<PhaseResult> phases{phase(20, 0.99), phase(28, 0.97)};
+    const std::vector<DetectionResult> found{{"slow", 1, 900ms}};
+    const std::vector<DetectionResult> unnoticed{{"slow", 1, std::nullopt}};
+    ScenarioBounds kept{0.95, 30, 1.5, 10, 0, 1000};
+    BOOST_TEST(missedBounds(kept, phases, found).empty());
+    BOOST_TEST(missedBounds(kept, phases, unnoticed).size() == 1U);
+    BOOST_TEST(missedBounds({0.98, {}, {}, {}, {}, {}}, phases, found).size() == 1U);
+    BOOST_TEST(missedBounds({{}, 25, {}, {}, {}, {}}, phases, found).size() == 1U);
+    BOOST_TEST(missedBounds({{}, {}, 1.3, {}, {}, {}}, phases, found).size() == 1U);
+    BOOST_TEST(missedBounds({{}, {}, {}, {}, {}, 800}, phases, found).size() == 1U);
+    auto slow = phase(20, 1);
+    slow.refusalTimes.p99 = 60;
+    slow.counts.byOutcome[static_cast<std::size_t>(CallerOutcome::NoAnswer)] = 1;
+    BOOST_TEST(missedBounds({{}, {}, {}, 50, {}, {}}, {slow}, {}).size() == 1U);
+    BOOST_TEST(missedBounds({{}, {}, {}, {}, 0.05, {}}, {slow}, {}).size() == 1U);
+}
--- /dev/null
+++ b/tests/test_outcomecheck.cpp
@@ -0,0 +1,93 @@
+#include "detail/outcomecheck.h"
+
+#include "detail/bodydigest.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspar;
+using namespace laburnumspar::detail;
+
+namespace {
+
+ExpectedAnswer expected()
+{
+    return {"k1", "r1", bodyDigest("hello"), 3};
+}
+
+CallerAnswer wholeAnswer()
+{
+    CallerAnswer answer{200, true, "", "answered", "r1", "", ""};
+    answer.body = R"({"request":"r1","key":"k1","body_hash":")" + bodyDigest("hello") + R"(","pad":"xxx"})";
+    answer.digest = bodyDigest(answer.body);
+    return answer;
+}
+
+CallerOutcome judgeWith(const std::function<void(CallerAnswer &)> &change)
+{
+    auto answer = wholeAnswer();
+    change(answer);
+    return judgeAnswer(answer, expected());
+}
+
+CallerOutcome judgeFailure(unsigned status, const std::string &outcome, const std::string &notRun = "")
+{
+    return judgeAnswer({status, true, "", outcome, "r1", "", notRun}, expected());
+}
+
+Violations checkOne(CallerOutcome outcome, bool idempotent, unsigned runs)
+{
+    RequestRecord record;
+    record.outcome = outcome;
+    record.idempotent = idempotent;
+    return checkOutcomes({record}, [runs](const RequestRecord &) { return runs; });
+}
+
+} // namespace
+
+// Guards against a foreign, damaged or cut answer that counts as good (I2).
+BOOST_AUTO_TEST_CASE(onlyTheOwnWholeAnswerCounts)
+{
+    BOOST_CHECK(judgeWith([](auto &) {}) == CallerOutcome::Answered);
+    BOOST_CHECK(judgeWith([](auto &answer) { answer.complete = false; }) == CallerOutcome::Partial);
+    BOOST_CHECK(judgeWith([](auto &answer) { answer.body[30] ^= 1; }) == CallerOutcome::Partial);
+    BOOST_CHECK(judgeWith([](auto &answer) { answer.body.clear(); }) == CallerOutcome::Partial);
+    BOOST_CHECK(judgeWith([](auto &answer) { answer.requestId = "r2"; }) == CallerOutcome::Foreign);
+    BOOST_CHECK(judgeWith([](auto &answer) {
+                    answer.body.replace(answer.body.find("k1"), 2, "k2");
+                    answer.digest = bodyDigest(answer.body);
+                })
+                == CallerOutcome::Foreign);
+    BOOST_CHECK(judgeWith([](auto &answer) {
+                    answer.body.replace(answer.body.find("xxx"), 3, "x");
+                    answer.digest = bodyDigest(answer.body);
+                })
+                == CallerOutcome::Partial);
+}
+
+// Guards against a failure that is taken for a promise that nothing ran.
+BOOST_AUTO_TEST_CASE(notRunNeedsAPromise)
+{
+    BOOST_CHECK(judgeFailure(503, "not-run") == CallerOutcome::NotRun);
+    BOOST_CHECK(judgeFailure(503, "", "shed") == CallerOutcome::NotRun);
+    BOOST_CHECK(judgeFailure(503, "") == CallerOutcome::Error);
+    BOOST_CHECK(judgeFailure(503, "may-have-run") == CallerOutcome::Error);
+    BOOST_CHECK(judgeFailure(504, "may-have-run") == CallerOutcome::MayHaveRun);
+    BOOST_CHECK(judgeFailure(409, "") == CallerOutcome::Duplicate);
+    BOOST_CHECK(judgeAnswer({503, false, "", "not-run", "", "", ""}, expected()) == CallerOutcome::NoAnswer);
+    BOOST_CHECK(judgeAnswer({503, true, R"({"outcome":"not-run"})", "", "", "", ""}, expected())
+                == CallerOutcome::NotRun);
+}
+
+// Guards against a check that cannot fail: each promise is broken once and kept once (I3, I4).
+BOOST_AUTO_TEST_CASE(eachBrokenPromiseIsFound)
+{
+    BOOST_TEST(checkOne(CallerOutcome::NotRun, true, 1).notRunRan == 1U);
+    BOOST_TEST(checkOne(CallerOutcome::Unreachable, true, 1).notRunRan == 1U);
+    BOOST_TEST(checkOne(CallerOutcome::NotRun, true, 0).sum() == 0U);
+    BOOST_TEST(checkOne(CallerOutcome::MayHaveRun, false, 2).ranTwice == 1U);
+    BOOST_TEST(checkOne(CallerOutcome::MayHaveRun, false, 1).sum() == 0U);
+    BOOST_TEST(checkOne(CallerOutcome::Answered, true, 2).sum() == 0U);
+    BOOST_TEST(checkOne(CallerOutcome::Answered, true, 0).answeredNotRun == 1U);
+    BOOST_TEST(checkOne(CallerOutcome::Foreign, true, 1).foreign == 1U);
+    BOOST_TEST(checkOne(CallerOutcome::Partial, true, 1).partial == 1U);
+}
