membership: add the state machine of the members

Cause: roles, forwarding and the health of the fleet are computed from the members, which only heartbeats tell reliably; the platform's list lags. Ruled out: independent random receivers; with 40 members some would not be contacted for many rounds, so that the receivers are a shuffled round. Passing on the platform's leaving marks; receivers would take them for the member's own statement. Change: Membership with bounded heartbeats, news first, records in rotation, link checks, replay and incarnation rules, pauses and hints.

--- a/include/laburnumspar/membership.h
+++ b/include/laburnumspar/membership.h
@@ -91,8 +91,10 @@
     void leave();
     /// Accounts for time in which this instance did not run; late ticks are noticed without it.
     void noteOwnPause(TimePoint from, TimePoint to);
-    /// What the further heartbeats say about this instance.
+    /// What the further heartbeats say about this instance. They have 300 bytes for it: unreachable upstreams first,
+    /// then loads, in the order given. Throws EncodeError.
     void publish(std::vector<ServiceLoad> loads, std::vector<UnreachableUpstreams> unreachable);
+    /// Accepted versions; their hash and some of them in rotation are part of each heartbeat. Throws EncodeError.
     void publishSettings(std::vector<SettingsVersion> versions);
 
     /// This instance first, then all members by address, with dead ones for an hour.
@@ -131,12 +133,11 @@
     Builder &period(Milliseconds period);
     /// Seed of the random choice of receivers.
     Builder &randomSeed(std::uint64_t seed);
-    /// Throws InvariantError without an address, an incarnation, or with a period below 1 ms.
+    /// Throws InvariantError without an address, an incarnation, or with a period below 1 ms; EncodeError for an
+    /// address that is not an IP address.
     Membership build() const;
 
 private:
-    friend class Membership::Private;
-
     InstanceId m_self;
     std::string m_zone;
     Endpoint m_callerAddress;
--- /dev/null
+++ b/src/detail/membershipcore.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "detail/contacts.h"
+#include "detail/heartbeatfill.h"
+#include "detail/memberlist.h"
+#include "laburnumspar/membership.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace laburnumspar::detail {
+
+/// Incarnations are milliseconds of the wall clock; anything beyond is an error.
+inline constexpr std::uint64_t MaxIncarnation = std::uint64_t(1) << 62U;
+
+struct MembershipParameters {
+    InstanceId self;
+    std::string zone;
+    Endpoint callerAddress;
+    std::uint64_t incarnation = 0;
+    std::vector<InstanceId> seeds;
+    Milliseconds period{250};
+    std::uint64_t randomSeed = 1;
+};
+
+/// The state machine behind Membership; see there.
+class MembershipCore
+{
+public:
+    explicit MembershipCore(MembershipParameters parameters);
+
+    std::vector<Datagram> tick(TimePoint now);
+    Receipt receive(const Envelope &envelope, const Heartbeat &heartbeat, const InstanceId &from, TimePoint now);
+    void hint(std::span<const InstanceEntry> entries, TimePoint now);
+    void leave();
+    void notePause(TimePoint from, TimePoint to);
+    void publish(std::vector<ServiceLoad> loads, std::vector<UnreachableUpstreams> unreachable);
+    void publishSettings(std::vector<SettingsVersion> versions);
+
+    const InstanceId &self() const
+    {
+        return m_parameters.self;
+    }
+    std::uint64_t incarnation() const
+    {
+        return m_parameters.incarnation;
+    }
+    MemberList &list()
+    {
+        return m_list;
+    }
+    const MembershipCounters &counters() const
+    {
+        return m_counters;
+    }
+    std::uint64_t revision() const
+    {
+        return m_list.revision() + m_ownRevision;
+    }
+    MemberView selfView(TimePoint now) const;
+    MemberView viewOf(const InstanceId &id, const Member &member, TimePoint now) const;
+    bool bidirectional(const Member &member, TimePoint now) const;
+    bool viewTrusted(TimePoint now) const;
+    bool alone(TimePoint now) const;
+
+private:
+    MemberState ownState() const;
+    void notePauseIfLate(TimePoint now);
+    Heartbeat base();
+    void addSettingsWindow(Heartbeat &heartbeat);
+    Datagram heartbeatFor(const InstanceId &receiver, TimePoint now);
+    Receipt check(const Envelope &envelope, const InstanceId &from) const;
+    void learned(const InstanceId &id, TimePoint now);
+    void applyOwnRecord(const InstanceId &sender, const Heartbeat &heartbeat);
+    void raiseIncarnation(std::uint64_t known);
+
+    MembershipParameters m_parameters;
+    MemberList m_list;
+    Contacts m_contacts;
+    MembershipCounters m_counters;
+    PublishedState m_published;
+    std::vector<SettingsVersion> m_settings;
+    std::uint64_t m_settingsHash = 0;
+    std::size_t m_settingsCursor = 0;
+    FillCursors m_cursors;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_ownRevision = 0;
+    bool m_leaving = false;
+    std::optional<TimePoint> m_ranAt; ///< last tick or end of the last pause
+    TimePoint m_nextTick;
+    TimePoint m_heardAt;
+    TimePoint m_pauseNotedTo;
+    std::uint64_t m_echoAwaited = 0; ///< after a pause: first sequence number since; 0 once a peer has shown it
+};
+
+} // namespace laburnumspar::detail
