--- a/include/laburnumspar/dispatcher.h
+++ b/include/laburnumspar/dispatcher.h
@@ -49,6 +49,13 @@
     std::optional<unsigned> reportedInFlight; ///< work at the upstream, including the item that ended
 };
 
+/// Settings that may change while work is held.
+struct DispatcherLimits {
+    double longShare = 0.5;
+    unsigned queueLimit = 1000;
+    std::map<std::string, double> teamShares;
+};
+
 using AdmissionHook = std::function<Admission(const UpstreamId &, TimePoint)>;
 using DispatcherLoad = ServiceLoad;
 
@@ -134,6 +141,8 @@
 
     /// Replaces the owned upstreams. Work on upstreams that are gone stays counted until it finishes.
     void setUpstreams(std::vector<UpstreamCapacity> upstreams, TimePoint now);
+    /// What is queued stays queued, also beyond a lowered queue limit.
+    void setLimits(DispatcherLimits limits, TimePoint now);
     /// Throws InvariantError if the ticket is already held.
     std::vector<Decision> submit(WorkItem item, TimePoint now);
     /// Ends a started item; an unknown ticket is ignored.
--- a/include/laburnumspar/instance.h
+++ b/include/laburnumspar/instance.h
@@ -27,7 +27,7 @@
 private:
     class Private;
     explicit Instance(std::unique_ptr<Private> d);
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 class Instance::Builder
--- a/src/detail/dispatcherprivate.h
+++ b/src/detail/dispatcherprivate.h
@@ -21,6 +21,7 @@
     explicit Private(const Builder &builder);
 
     void setUpstreams(std::vector<UpstreamCapacity> upstreams, TimePoint now);
+    void setLimits(DispatcherLimits limits, TimePoint now);
     Decisions submit(WorkItem item, TimePoint now);
     Decisions finish(std::uint64_t ticket, const Completion &completion, TimePoint now);
     Decisions cancel(std::uint64_t ticket, TimePoint now);
--- a/src/detail/fairqueue.cpp
+++ b/src/detail/fairqueue.cpp
@@ -46,15 +46,30 @@
 {
 }
 
+double FairQueue::weightOf(const std::string &name) const
+{
+    const auto it = m_shares.find(name);
+    return it == m_shares.end() ? 1 : std::max(it->second, MinWeight);
+}
+
+void FairQueue::setShares(std::map<std::string, double> shares)
+{
+    m_shares = std::move(shares);
+    for (const auto &[name, team] : m_teams) {
+        const double weight = weightOf(name);
+        m_activeWeight += team->active ? weight - team->weight : 0;
+        team->weight = weight;
+    }
+}
+
 Team &FairQueue::team(const std::string &name)
 {
     std::unique_ptr<Team> &team = m_teams[name];
     if (!team) {
-        const auto share = m_shares.find(name);
         team = std::make_unique<Team>();
         team->name = name;
         team->number = m_nextNumber++;
-        team->weight = share == m_shares.end() ? 1 : std::max(share->second, MinWeight);
+        team->weight = weightOf(name);
         team->virtualTime = m_virtualTime;
     }
     return *team;
--- a/src/detail/fairqueue.h
+++ b/src/detail/fairqueue.h
@@ -61,6 +61,8 @@
     explicit FairQueue(std::map<std::string, double> shares);
 
     Team &team(const std::string &name);
+    /// Takes over changed weights, also for teams that have work.
+    void setShares(std::map<std::string, double> shares);
     void push(Team &team, WorkClass workClass, const QueueKey &key, std::uint64_t ticket);
     void erase(Team &team, WorkClass workClass, const QueueKey &key);
 
@@ -106,6 +108,7 @@
     };
     using Backlog = std::set<Team *, DueFirst>;
 
+    double weightOf(const std::string &name) const;
     void charge(Team &team, double costUs);
     void updateActive(Team &team);
     double activeWeightWith(const Team &team) const;
--- a/src/detail/slottable.h
+++ b/src/detail/slottable.h
@@ -41,6 +41,11 @@
     explicit SlotTable(Options options);
 
     void setUpstreams(std::vector<UpstreamCapacity> upstreams);
+    /// Applies from the next refresh on.
+    void setLongShare(double share)
+    {
+        m_options.longShare = share;
+    }
     /// Recomputes the limits; asks the hook again if `force` is set or its answers are older than 1 ms.
     void refresh(TimePoint now, bool force);
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -58,6 +58,14 @@
     advance(now, true);
 }
 
+void Dispatcher::Private::setLimits(DispatcherLimits limits, TimePoint now)
+{
+    m_queueLimit = limits.queueLimit;
+    m_queue.setShares(std::move(limits.teamShares));
+    m_slots.setLongShare(limits.longShare);
+    advance(now, true);
+}
+
 Dispatcher::Private::Decisions Dispatcher::Private::submit(WorkItem item, TimePoint now)
 {
     now = advance(now);
@@ -227,6 +235,11 @@
     m_d->setUpstreams(std::move(upstreams), now);
 }
 
+void Dispatcher::setLimits(DispatcherLimits limits, TimePoint now)
+{
+    m_d->setLimits(std::move(limits), now);
+}
+
 std::vector<Decision> Dispatcher::submit(WorkItem item, TimePoint now)
 {
     return m_d->submit(std::move(item), now);
--- /dev/null
+++ b/src/net/adminapi.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "detail/guarded.h"
+#include "laburnumspar/claims.h"
+#include "net/dump.h"
+#include "net/faultswitch.h"
+#include "net/httpserver.h"
+#include "net/servicetable.h"
+
+namespace laburnumspar::detail {
+
+/// The read-only HTTP interface for operators.
+class AdminApi
+{
+public:
+    struct Context {
+        const ProcessSettings &settings;
+        std::uint64_t incarnation;
+        Guarded<SettingsStore> &store;
+        Guarded<Membership> &membership;
+        Guarded<ClaimTable> &claims;
+        ServiceTable &services;
+        FaultSwitch &faults;
+        MetricsRegistry &metrics;
+        std::function<std::string()> state;
+        std::function<bool()> isReader;
+    };
+
+    explicit AdminApi(Context context);
+
+    awaitable<HttpResponse> handle(HttpRequest request, CancellationPtr cancellation);
+
+private:
+    HttpResponse dump();
+    HttpResponse check(const HttpRequest &request);
+    HttpResponse faults(const HttpRequest &request);
+    boost::json::object processDump();
+
+    Context m_context;
+};
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/callerapi.cpp
@@ -0,0 +1,276 @@
+#include "net/callerapi.h"
+
+#include "laburnumspar/log.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace laburnumspar::detail {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view CallPrefix = "/v1/call/";
+// Short enough that callers soon leave a failed instance, long enough that asking costs little.
+constexpr Milliseconds AddressLifetime{5000};
+constexpr std::size_t DefaultAddresses = 4;
+constexpr std::size_t MaxAddresses = 16;
+constexpr std::size_t DefaultIds = 16;
+constexpr std::size_t MaxIds = 256;
+constexpr Milliseconds MaxDeadline{600000};
+
+std::string_view header(const HttpRequest &request, const char *name)
+{
+    const auto value = request[name];
+    return {value.data(), value.size()};
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool whole = ec == std::errc() && end == text.data() + text.size();
+    return whole && !text.empty() ? std::optional(value) : std::nullopt;
+}
+
+std::map<std::string, std::string> queryOf(std::string_view target)
+{
+    std::map<std::string, std::string> values;
+    const auto mark = target.find('?');
+    while (mark != std::string_view::npos && target.size() > mark) {
+        target.remove_prefix(target.find_first_of("?&") + 1);
+        const auto part = target.substr(0, target.find('&'));
+        const auto equals = part.find('=');
+        if (equals != std::string_view::npos) {
+            values.emplace(part.substr(0, equals), part.substr(equals + 1));
+        }
+        if (target.find('&') == std::string_view::npos) {
+            break;
+        }
+    }
+    return values;
+}
+
+std::size_t
+countParameter(const std::map<std::string, std::string> &query, const char *key, std::size_t standard, std::size_t most)
+{
+    const auto it = query.find(key);
+    const auto value = it == query.end() ? std::nullopt : parseNumber(it->second);
+    return std::min<std::size_t>(value.value_or(standard), most);
+}
+
+http::status statusOf(const WorkResult &result)
+{
+    switch (result.reason) {
+    case Reason::BadRequest:
+    case Reason::IdentifierInvalid:
+        return http::status::bad_request;
+    case Reason::UnknownService:
+        return http::status::not_found;
+    case Reason::DuplicateRequest:
+        return http::status::conflict;
+    default:
+        return result.outcome == Outcome::NotRun ? http::status::service_unavailable : http::status::gateway_timeout;
+    }
+}
+
+std::string joinAddresses(const std::vector<Endpoint> &addresses)
+{
+    std::string text;
+    for (const auto &address : addresses) {
+        text += (text.empty() ? "" : ",") + toString(address);
+    }
+    return text;
+}
+
+} // namespace
+
+CallerApi::CallerApi(Context context)
+    : m_context(std::move(context))
+    , m_time(m_context.metrics.distribution("lspar_request_seconds"))
+{
+    for (const auto outcome : {Outcome::Answered, Outcome::NotRun, Outcome::MayHaveRun}) {
+        m_outcomes[outcome]
+            = &m_context.metrics.counter("lspar_requests_total", {{"outcome", std::string(name(outcome))}});
+    }
+}
+
+awaitable<HttpResponse> CallerApi::handle(HttpRequest request, CancellationPtr cancellation)
+{
+    const std::string_view target(request.target().data(), request.target().size());
+    const auto path = target.substr(0, target.find('?'));
+    if (boost::algorithm::starts_with(path, CallPrefix)) {
+        co_return co_await call(std::move(request), std::move(cancellation));
+    }
+    if (path == "/v1/addresses" && request.method() == http::verb::get) {
+        co_return addresses(request);
+    }
+    if (path == "/v1/health" && request.method() == http::verb::get) {
+        co_return health();
+    }
+    co_return makeResponse(http::status::not_found, "application/json", "{\"error\":\"no such endpoint\"}\n");
+}
+
+HttpResponse CallerApi::health() const
+{
+    const bool ready = m_context.ready() && !m_context.leaving();
+    const char *state = m_context.leaving() ? "leaving" : m_context.ready() ? "ready" : "starting";
+    return makeResponse(ready ? http::status::ok : http::status::service_unavailable,
+                        "application/json",
+                        std::string("{\"state\":\"") + state + "\"}\n");
+}
+
+awaitable<HttpResponse> CallerApi::call(HttpRequest request, CancellationPtr cancellation)
+{
+    const auto begun = Clock::now();
+    Work work;
+    std::string detail;
+    WorkResult result{Outcome::NotRun, prepare(request, work, detail), 0, {}, {}, {}, {}};
+    result.detail = detail;
+    if (result.reason == Reason::None) {
+        work.body = std::move(request.body());
+        result = co_await m_context.router.fromCaller(work, std::move(cancellation));
+    }
+    const auto took = Clock::now() - begun;
+    m_time.record(std::chrono::duration<double>(took).count());
+    m_outcomes[result.outcome]->add();
+    if (logEnabled(LogLevel::Debug)) {
+        logEvent(LogLevel::Debug,
+                 "request.done",
+                 {{"request", work.requestId},
+                  {"service", work.service},
+                  {"team", work.team},
+                  {"outcome", name(result.outcome)},
+                  {"reason", name(result.reason)},
+                  {"upstream", toString(result.upstream)},
+                  {"us", std::chrono::duration_cast<Microseconds>(took).count()}});
+    }
+    co_return respond(work, result);
+}
+
+Reason CallerApi::prepare(const HttpRequest &request, Work &work, std::string &detail)
+{
+    auto target = std::string_view(request.target().data(), request.target().size()).substr(CallPrefix.size());
+    const auto slash = target.find('/');
+    work.service = std::string(target.substr(0, std::min(slash, target.find('?'))));
+    work.path = slash == std::string_view::npos ? "/" : std::string(target.substr(slash));
+    work.method = std::string(request.method_string());
+    work.team = std::string(header(request, "Lspar-Team"));
+    work.requestId = std::string(header(request, "Lspar-Request-Id"));
+    work.contentType = std::string(header(request, "Content-Type"));
+    if (work.team.empty()) {
+        work.team = "anonymous";
+    }
+    if (!m_context.ready()) {
+        return Reason::NotReady;
+    }
+    const auto settings = m_context.services.settings(work.service);
+    if (!settings) {
+        detail = "no service named " + work.service;
+        return Reason::UnknownService;
+    }
+    const auto *route = routeFor(*settings, work.path);
+    auto deadline = route ? route->deadline : settings->deadline;
+    if (const auto text = header(request, "Lspar-Deadline-Ms"); !text.empty()) {
+        const auto value = parseNumber(text);
+        if (!value || *value == 0 || *value > static_cast<std::uint64_t>(MaxDeadline.count())) {
+            detail = "Lspar-Deadline-Ms: 1 to 600000";
+            return Reason::BadRequest;
+        }
+        deadline = Milliseconds(*value);
+    }
+    work.deadline = Clock::now() + deadline;
+    work.route = route ? route->prefix : "/";
+    work.workClass = route && route->workClass ? *route->workClass : WorkClass::Short;
+    work.idempotent = route && route->idempotent;
+    if (const auto text = header(request, "Lspar-Idempotent"); !text.empty()) {
+        if (text != "true" && text != "false") {
+            detail = "Lspar-Idempotent: true or false";
+            return Reason::BadRequest;
+        }
+        work.idempotent = text == "true";
+    }
+    if (work.requestId.empty()) {
+        // Without an identifier of the fleet a repeat cannot be recognised; this delivery still runs at most once.
+        work.requestId = work.idempotent ? nextRequestId() : m_context.router.issueIds(1).front();
+    }
+    return Reason::None;
+}
+
+std::string CallerApi::nextRequestId()
+{
+    return toString(m_context.self) + '-' + std::to_string(m_context.incarnation) + '-' + std::to_string(m_nextId++);
+}
+
+HttpResponse CallerApi::respond(const Work &work, const WorkResult &result)
+{
+    HttpResponse response;
+    if (result.outcome == Outcome::Answered) {
+        const auto type = result.contentType.empty() ? "application/octet-stream" : result.contentType;
+        response = makeResponse(http::int_to_status(result.status), type, result.body);
+    } else {
+        json::object body{{"outcome", name(result.outcome)},
+                          {"reason", name(result.reason)},
+                          {"request", work.requestId},
+                          {"detail", result.detail}};
+        response = makeResponse(statusOf(result), "application/json", json::serialize(body) + '\n');
+        response.set("Lspar-Reason", name(result.reason));
+    }
+    response.set("Lspar-Outcome", name(result.outcome));
+    response.set("Lspar-Request-Id", work.requestId);
+    response.set("Lspar-Instance", toString(m_context.callerAddress));
+    if (!result.upstream.ip.empty()) {
+        response.set("Lspar-Upstream", toString(result.upstream));
+    }
+    if (!work.idempotent && m_context.ready()) {
+        response.set("Lspar-Next-Request-Id", m_context.router.issueIds(1).front());
+    }
+    if (m_context.leaving()) {
+        response.set("Lspar-Better", joinAddresses(rankedAddresses(work.service, m_context.zone, DefaultAddresses)));
+    }
+    return response;
+}
+
+std::vector<Endpoint> CallerApi::rankedAddresses(const std::string &service, const std::string &zone, std::size_t count)
+{
+    auto addresses = m_context.services.callerAddresses(service, zone);
+    addresses.resize(std::min(addresses.size(), count));
+    return addresses;
+}
+
+HttpResponse CallerApi::addresses(const HttpRequest &request)
+{
+    const auto query = queryOf({request.target().data(), request.target().size()});
+    const auto service = query.find("service");
+    if (!m_context.ready()) {
+        return makeResponse(http::status::service_unavailable, "application/json", "{\"error\":\"not ready\"}\n");
+    }
+    if (service == query.end() || !m_context.services.settings(service->second)) {
+        return makeResponse(http::status::not_found, "application/json", "{\"error\":\"unknown service\"}\n");
+    }
+    const auto zone = query.find("zone");
+    const auto count = std::max<std::size_t>(1, countParameter(query, "count", DefaultAddresses, MaxAddresses));
+    json::array addresses;
+    for (const auto &address :
+         rankedAddresses(service->second, zone == query.end() ? m_context.zone : zone->second, count)) {
+        addresses.emplace_back(toString(address));
+    }
+    json::array ids;
+    if (!m_context.leaving()) {
+        for (auto &id : m_context.router.issueIds(countParameter(query, "ids", DefaultIds, MaxIds))) {
+            ids.emplace_back(std::move(id));
+        }
+    }
+    json::object body{{"service", service->second},
+                      {"addresses", std::move(addresses)},
+                      {"lifetime_ms", AddressLifetime.count()},
+                      {"request_ids", std::move(ids)},
+                      {"request_ids_owner", toString(m_context.callerAddress)}};
+    return makeResponse(http::status::ok, "application/json", json::serialize(body) + '\n');
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/callerids.cpp
@@ -0,0 +1,44 @@
+#include "net/callerids.h"
+
+namespace laburnumspar::detail {
+
+namespace {
+
+constexpr std::size_t MaxEntries = 100'000;
+constexpr std::chrono::seconds Lifetime{600}; // as long as the identifiers of the fleet
+
+} // namespace
+
+std::optional<RequestId>
+CallerIds::idFor(const std::string &team, const std::string &text, ClaimTable &claims, TimePoint now)
+{
+    expire(now);
+    const auto key = team + '\n' + text;
+    if (const auto it = m_entries.find(key); it != m_entries.end()) {
+        return it->second.id;
+    }
+    if (m_entries.size() >= MaxEntries) {
+        return std::nullopt;
+    }
+    const auto issued = claims.issue(1, now);
+    if (issued.empty()) {
+        return std::nullopt;
+    }
+    m_entries.emplace(key, Entry{issued.front(), now});
+    m_order.push_back(key);
+    return issued.front();
+}
+
+void CallerIds::expire(TimePoint now)
+{
+    while (!m_order.empty()) {
+        const auto it = m_entries.find(m_order.front());
+        if (now - it->second.at < Lifetime) {
+            return;
+        }
+        m_entries.erase(it);
+        m_order.pop_front();
+    }
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/dump.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "laburnumspar/dispatcher.h"
+#include "laburnumspar/health.h"
+#include "laburnumspar/membership.h"
+#include "laburnumspar/settingsstore.h"
+
+#include <boost/json.hpp>
+
+namespace laburnumspar::detail {
+
+/// JSON forms of the tables that decisions read. Times are milliseconds before `now`.
+boost::json::value toJson(const DispatcherDump &dump, TimePoint now);
+boost::json::value toJson(const HealthDump &dump, TimePoint now);
+boost::json::value toJson(const std::vector<MemberView> &members, TimePoint now);
+boost::json::value toJson(const std::vector<SettingsRecord> &records);
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/framestream.cpp
@@ -0,0 +1,81 @@
+#include "net/framestream.h"
+
+#include "laburnumspar/log.h"
+
+namespace laburnumspar::detail {
+
+FrameStream::FrameStream(tcp::socket socket)
+    : m_socket(std::move(socket))
+{
+}
+
+void FrameStream::send(std::vector<std::uint8_t> frame, SentHook onWrite)
+{
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this(), frame = std::move(frame), onWrite = std::move(onWrite)]() mutable {
+                   if (!self->m_socket.is_open()) {
+                       return;
+                   }
+                   self->m_queuedBytes += frame.size();
+                   self->m_queue.push_back({std::move(frame), std::move(onWrite)});
+                   if (!self->m_writing) {
+                       self->m_writing = true;
+                       asio::co_spawn(
+                           self->m_socket.get_executor(),
+                           [self] { return self->writeAll(); },
+                           [](std::exception_ptr error) { rethrowIfFatal(std::move(error), "peer.write"); });
+                   }
+               });
+}
+
+awaitable<void> FrameStream::writeAll()
+{
+    while (!m_queue.empty() && m_socket.is_open()) {
+        auto frame = std::move(m_queue.front());
+        m_queue.pop_front();
+        m_queuedBytes -= frame.bytes.size();
+        if (frame.onWrite) {
+            frame.onWrite();
+        }
+        auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(frame.bytes), Awaitable);
+        if (ec) {
+            error_code ignored;
+            m_socket.close(ignored);
+        }
+    }
+    m_writing = false;
+}
+
+awaitable<std::optional<DecodedMessage>> FrameStream::receive()
+{
+    std::vector<std::uint8_t> buf(FramePrefixBytes);
+    auto [ec, n] = co_await asio::async_read(m_socket, asio::buffer(buf), Awaitable);
+    if (ec) {
+        co_return std::nullopt;
+    }
+    std::string fault;
+    try {
+        const auto length = frameLength(buf);
+        buf.resize(length);
+        auto rest = asio::buffer(buf) + FramePrefixBytes;
+        auto [restError, restRead] = co_await asio::async_read(m_socket, rest, Awaitable);
+        if (restError) {
+            co_return std::nullopt;
+        }
+        co_return decode(buf);
+    } catch (const DecodeError &e) {
+        fault = e.what();
+    }
+    logEvent(LogLevel::Warning, "peer.bad-frame", {{"error", fault}});
+    co_return std::nullopt;
+}
+
+void FrameStream::close()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        error_code ignored;
+        self->m_socket.close(ignored);
+    });
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/gossip.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "laburnumspar/messages.h"
+#include "laburnumspar/metrics.h"
+#include "net/faultswitch.h"
+#include "net/io.h"
+
+namespace laburnumspar::detail {
+
+/// The UDP socket for heartbeats.
+class Gossip
+{
+public:
+    using ReceiveHook = std::function<void(const DecodedMessage &, const Endpoint &from)>;
+
+    /// Binds at once; throws TransportError if the address is taken.
+    Gossip(asio::io_context &context,
+           const FaultSwitch &faults,
+           const Endpoint &self,
+           MetricsRegistry &metrics,
+           ReceiveHook onReceive);
+
+    void start();
+    /// Safe to call from any thread.
+    void send(const Endpoint &to, std::vector<std::uint8_t> bytes);
+    void close();
+
+private:
+    awaitable<void> receiveAll();
+    void receive(std::span<const std::uint8_t> bytes, const Endpoint &from);
+
+    udp::socket m_socket;
+    const FaultSwitch &m_faults;
+    ReceiveHook m_onReceive;
+    Counter &m_sentBytes;
+    Counter &m_receivedBytes;
+    Counter &m_refused;
+};
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,277 @@
+#include "net/httpserver.h"
+
+#include "laburnumspar/errors.h"
+#include "laburnumspar/log.h"
+
+#include <sys/socket.h>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+tcp::acceptor bindTo(asio::io_context &context, const Endpoint &endpoint)
+{
+    try {
+        return tcp::acceptor(asio::make_strand(context), toAsio<tcp>(endpoint));
+    } catch (const boost::system::system_error &e) {
+        throw TransportError("cannot listen on " + toString(endpoint) + ": " + e.code().message());
+    }
+}
+
+bool hasBeenClosed(tcp::socket &socket)
+{
+    char byte = 0;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+} // namespace
+
+struct HttpServer::State {
+    Limits limits;
+    Handler handler;
+    std::atomic<bool> closing = false;
+    std::atomic<std::size_t> inFlight = 0;
+    std::atomic<std::size_t> connections = 0;
+    std::mutex mutex; // lock rank: Links
+    std::set<Connection *> open;
+};
+
+/// One connection of a caller. Lives until its coroutine ends.
+class HttpServer::Connection : public std::enable_shared_from_this<HttpServer::Connection>
+{
+public:
+    Connection(std::shared_ptr<State> state, tcp::socket socket)
+        : m_state(std::move(state))
+        , m_stream(std::move(socket))
+    {
+        ++m_state->connections;
+        std::lock_guard lock(m_state->mutex);
+        m_state->open.insert(this);
+    }
+    ~Connection()
+    {
+        std::lock_guard lock(m_state->mutex);
+        m_state->open.erase(this);
+        --m_state->connections;
+    }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    awaitable<void> run()
+    {
+        auto self = shared_from_this();
+        beast::flat_buffer buf;
+        while (!m_idleClosed) {
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(m_state->limits.maxBodyBytes);
+            parser.header_limit(m_state->limits.maxHeaderBytes);
+            m_stream.expires_after(m_state->limits.idleTimeout);
+            auto [ec, n] = co_await http::async_read(m_stream, buf, parser, Awaitable);
+            if (ec) {
+                co_await answerBadRequest(ec);
+                break;
+            }
+            m_stream.expires_never();
+            if (!co_await serve(parser.release())) {
+                break;
+            }
+        }
+        error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    /// Closes the connection unless it carries a request.
+    void closeIfIdle()
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            self->m_idleClosed = true;
+            if (!self->m_busy) {
+                self->m_stream.cancel();
+            }
+        });
+    }
+
+    void abort()
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            if (self->m_cancellation) {
+                self->m_cancellation->cancel();
+            }
+        });
+    }
+
+private:
+    awaitable<bool> serve(HttpRequest request)
+    {
+        m_busy = true;
+        ++m_state->inFlight;
+        m_cancellation = std::make_shared<Cancellation>();
+        watchForClose();
+        const auto version = request.version();
+        const bool keepAlive = request.keep_alive();
+        auto response = co_await handle(std::move(request));
+        response.version(version);
+        response.keep_alive(keepAlive && !m_state->closing);
+        response.prepare_payload();
+        m_stream.socket().cancel();
+        auto [ec, n] = co_await http::async_write(m_stream, response, Awaitable);
+        m_cancellation.reset();
+        --m_state->inFlight;
+        m_busy = false;
+        co_return !ec && response.keep_alive();
+    }
+
+    awaitable<HttpResponse> handle(HttpRequest request)
+    {
+        std::string detail;
+        try {
+            co_return co_await m_state->handler(std::move(request), m_cancellation);
+        } catch (const InvariantError &) {
+            throw;
+        } catch (const std::exception &e) {
+            detail = e.what();
+        }
+        logEvent(LogLevel::Error, "http.handler-failed", {{"error", detail}});
+        auto response = makeResponse(http::status::internal_server_error,
+                                     "application/json",
+                                     "{\"outcome\":\"may-have-run\",\"reason\":\"upstream-error\"}\n");
+        response.set("Lspar-Outcome", name(Outcome::MayHaveRun));
+        co_return response;
+    }
+
+    // A caller that closes its connection is not waiting any more, so its work is cancelled.
+    void watchForClose()
+    {
+        m_stream.socket().async_wait(tcp::socket::wait_read,
+                                     [self = shared_from_this(), cancellation = m_cancellation](error_code ec) {
+                                         if (!ec && hasBeenClosed(self->m_stream.socket())) {
+                                             cancellation->cancel();
+                                         }
+                                     });
+    }
+
+    awaitable<void> answerBadRequest(error_code ec)
+    {
+        if (ec.category() != error_code(http::error::bad_method).category() || ec == http::error::end_of_stream) {
+            co_return;
+        }
+        auto response = makeResponse(http::status::bad_request,
+                                     "application/json",
+                                     R"({"outcome":"not-run","reason":"bad-request","request":"","detail":")"
+                                         + ec.message() + "\"}\n");
+        response.keep_alive(false);
+        response.set("Lspar-Outcome", "not-run");
+        co_await http::async_write(m_stream, response, Awaitable);
+    }
+
+    std::shared_ptr<State> m_state;
+    beast::tcp_stream m_stream;
+    CancellationPtr m_cancellation;
+    bool m_busy = false;
+    bool m_idleClosed = false;
+};
+
+HttpServer::HttpServer(asio::io_context &context, const Endpoint &endpoint, Limits limits, Handler handler)
+    : m_context(context)
+    , m_acceptor(bindTo(context, endpoint))
+    , m_state(std::make_shared<State>())
+{
+    m_state->limits = limits;
+    m_state->handler = std::move(handler);
+}
+
+void HttpServer::startClosing()
+{
+    m_state->closing = true;
+}
+
+std::size_t HttpServer::requestsInFlight() const
+{
+    return m_state->inFlight;
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_state->connections;
+}
+
+void HttpServer::start()
+{
+    asio::co_spawn(m_acceptor.get_executor(), accept(), [](std::exception_ptr error) {
+        rethrowIfFatal(std::move(error), "http.accept");
+    });
+}
+
+awaitable<void> HttpServer::accept()
+{
+    // Out of file descriptors: waits until connections have been closed instead of spinning.
+    constexpr Milliseconds RetryDelay{50};
+    while (m_acceptor.is_open()) {
+        auto [ec, socket] = co_await m_acceptor.async_accept(asio::make_strand(m_context), Awaitable);
+        if (ec == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (ec) {
+            co_await sleepFor(RetryDelay);
+            continue;
+        }
+        if (m_state->connections >= m_state->limits.maxConnections) {
+            logEvent(LogLevel::Warning,
+                     "http.connection-limit",
+                     {{"limit", static_cast<std::int64_t>(m_state->limits.maxConnections)}});
+            continue;
+        }
+        error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto executor = socket.get_executor();
+        auto connection = std::make_shared<Connection>(m_state, std::move(socket));
+        asio::co_spawn(
+            executor,
+            [connection] { return connection->run(); },
+            [](std::exception_ptr error) { rethrowIfFatal(std::move(error), "http.connection"); });
+    }
+}
+
+void HttpServer::close()
+{
+    m_state->closing = true;
+    asio::post(m_acceptor.get_executor(), [this] {
+        error_code ignored;
+        m_acceptor.close(ignored);
+    });
+    for (const auto &connection : openConnections()) {
+        connection->closeIfIdle();
+    }
+}
+
+std::size_t HttpServer::abort()
+{
+    for (const auto &connection : openConnections()) {
+        connection->abort();
+    }
+    return m_state->inFlight;
+}
+
+std::vector<std::shared_ptr<HttpServer::Connection>> HttpServer::openConnections() const
+{
+    std::vector<std::shared_ptr<Connection>> connections;
+    std::lock_guard lock(m_state->mutex);
+    for (auto *connection : m_state->open) {
+        // Empty while the connection is being destroyed.
+        if (auto shared = connection->weak_from_this().lock()) {
+            connections.push_back(std::move(shared));
+        }
+    }
+    return connections;
+}
+
+HttpResponse makeResponse(http::status status, std::string_view contentType, std::string body)
+{
+    HttpResponse response{status, 11};
+    response.set(http::field::content_type, contentType);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    return response;
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/httpserver.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "net/io.h"
+
+#include <set>
+
+namespace laburnumspar::detail {
+
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+/// An HTTP/1.1 listener which hands each request to a hook.
+class HttpServer
+{
+public:
+    using Handler = std::function<awaitable<HttpResponse>(HttpRequest, CancellationPtr)>;
+
+    struct Limits {
+        std::uint64_t maxBodyBytes = 8 << 20;
+        std::uint32_t maxHeaderBytes = 16 << 10;
+        std::size_t maxConnections = 10000;
+        Milliseconds idleTimeout{120000};
+    };
+
+    /// Binds at once; throws TransportError if the address is taken.
+    HttpServer(asio::io_context &context, const Endpoint &endpoint, Limits limits, Handler handler);
+
+    void start();
+    /// From now on each answer asks the caller to close its connection.
+    void startClosing();
+    /// Stops accepting and closes connections which carry no request.
+    void close();
+    /// Requests that have been read and not yet been answered.
+    std::size_t requestsInFlight() const;
+    std::size_t connections() const;
+    /// Cancels all requests in flight; returns their number.
+    std::size_t abort();
+
+private:
+    class Connection;
+    struct State;
+
+    awaitable<void> accept();
+    std::vector<std::shared_ptr<Connection>> openConnections() const;
+
+    asio::io_context &m_context;
+    tcp::acceptor m_acceptor;
+    // Shared with the connections, which may end after the server.
+    std::shared_ptr<State> m_state;
+};
+
+/// A JSON or text answer.
+HttpResponse makeResponse(http::status status, std::string_view contentType, std::string body);
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/instance.cpp
@@ -0,0 +1,434 @@
+#include "laburnumspar/instance.h"
+
+#include "laburnumspar/errors.h"
+#include "laburnumspar/log.h"
+#include "laburnumspar/plugin.h"
+#include "laburnumspar/version.h"
+#include "net/adminapi.h"
+#include "net/callerapi.h"
+#include "net/gossip.h"
+#include "net/platformreader.h"
+#include "net/settingssync.h"
+
+#include <random>
+#include <thread>
+
+namespace laburnumspar {
+
+using namespace detail;
+
+namespace {
+
+enum class RunState : std::uint8_t {
+    Starting,
+    Ready,
+    Leaving,
+    Stopped,
+};
+
+constexpr std::array<std::string_view, 4> RunStateNames{"starting", "ready", "leaving", "stopped"};
+
+constexpr Milliseconds TickInterval{10};
+constexpr Milliseconds RefreshInterval{100};
+constexpr Milliseconds GossipInterval{250};
+// A gap between two ticks beyond this means that the process did not run.
+constexpr Milliseconds PauseThreshold{500};
+// Peers are given this long to say that they have newer settings before callers are served.
+constexpr Milliseconds JoinTime{700};
+// Callers keep an address for 5 s and may use it a little longer.
+constexpr Milliseconds LeavingTime{6000};
+
+std::uint64_t wallClockMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
+}
+
+std::uint64_t effectiveSeed(std::uint64_t seed)
+{
+    std::random_device device;
+    return seed != 0 ? seed : (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+Membership makeMembership(const ProcessSettings &settings, std::uint64_t incarnation, std::uint64_t seed)
+{
+    return Membership::Builder()
+        .self(settings.peers)
+        .zone(settings.zone)
+        .callerAddress(settings.callers)
+        .incarnation(incarnation)
+        .seeds(settings.seeds)
+        .period(GossipInterval)
+        .randomSeed(seed)
+        .build();
+}
+
+} // namespace
+
+/// The parts of one process. Lock order: see detail::LockRank.
+class Instance::Private
+{
+public:
+    Private(ProcessSettings processSettings, std::uint64_t seedValue);
+
+    int run();
+    void requestStop();
+
+    ProcessSettings settings;
+
+private:
+    void start();
+    awaitable<void> tickLoop();
+    awaitable<void> refreshLoop();
+    awaitable<void> gossipLoop();
+    awaitable<void> stopLoop();
+    void noteGap(TimePoint last, TimePoint now);
+    void refresh(TimePoint now);
+    void updateReadiness(const std::vector<MemberView> &members, TimePoint now);
+    void receiveHeartbeat(const DecodedMessage &message, const Endpoint &from);
+    bool isReader() const
+    {
+        return m_reader;
+    }
+    std::string stateName() const
+    {
+        return std::string(RunStateNames[static_cast<std::size_t>(m_state.load())]);
+    }
+    std::size_t requestsInFlight() const
+    {
+        return m_callers.requestsInFlight() + m_peers.requestsInFlight();
+    }
+
+    std::uint64_t m_seed;
+    std::uint64_t m_incarnation = wallClockMs();
+    TimePoint m_startedAt = Clock::now();
+    std::atomic<RunState> m_state = RunState::Starting;
+    std::atomic<int> m_stopRequests = 0;
+    std::atomic<bool> m_reader = false;
+    std::atomic<std::size_t> m_aborted = 0;
+
+    asio::io_context m_io;
+    MetricsRegistry m_metrics;
+    FaultSwitch m_faults;
+    std::unique_ptr<UpstreamDialect> m_upstreamDialect;
+    std::unique_ptr<PlatformDialect> m_platformDialect;
+    UpstreamClient m_client;
+    Guarded<SettingsStore> m_store;
+    Guarded<Membership> m_membership;
+    Guarded<ClaimTable> m_claims;
+    SettingsSync m_sync;
+    ServiceTable m_services;
+    PeerLinks m_links;
+    Router m_router;
+    CallerApi m_callerApi;
+    AdminApi m_adminApi;
+    HttpServer m_callers;
+    HttpServer m_admin;
+    PeerServer m_peers;
+    Gossip m_gossip;
+    PlatformReader m_platform;
+    Counter &m_pauses;
+};
+
+Instance::Private::Private(ProcessSettings processSettings, std::uint64_t seedValue)
+    : settings(std::move(processSettings))
+    , m_seed(effectiveSeed(seedValue))
+    , m_faults(settings.faultInjection)
+    , m_upstreamDialect(Registry<UpstreamDialect>::global().make("lspar-v1"))
+    , m_platformDialect(Registry<PlatformDialect>::global().make(settings.platformDialect))
+    , m_client(*m_upstreamDialect, m_faults, {})
+    , m_store(LockRank::Settings)
+    , m_membership(LockRank::Membership, makeMembership(settings, m_incarnation, m_seed))
+    , m_claims(LockRank::Claims, settings.peers, m_incarnation, Clock::now())
+    , m_sync(m_store)
+    , m_services(settings.peers, {m_io, m_client, m_metrics, m_seed, settings.instancesMax})
+    , m_links(
+          m_io,
+          m_faults,
+          {settings.peers, m_incarnation, 0},
+          {},
+          [this](const InstanceId &from, const SettingsValue &values) { m_sync.fromPeer(from, values); },
+          [this] { return m_sync.known(); })
+    , m_router({settings.peers, settings.zone, m_incarnation, m_seed, m_claims, m_services, m_links, m_metrics})
+    , m_callerApi({settings.peers,
+                   settings.callers,
+                   settings.zone,
+                   m_incarnation,
+                   m_services,
+                   m_router,
+                   m_metrics,
+                   [this] { return m_state != RunState::Starting; },
+                   [this] { return m_state == RunState::Leaving; }})
+    , m_adminApi({settings,
+                  m_incarnation,
+                  m_store,
+                  m_membership,
+                  m_claims,
+                  m_services,
+                  m_faults,
+                  m_metrics,
+                  [this] { return stateName(); },
+                  [this] { return isReader(); }})
+    , m_callers(m_io,
+                settings.callers,
+                {},
+                [this](HttpRequest request, CancellationPtr cancellation) {
+                    return m_callerApi.handle(std::move(request), std::move(cancellation));
+                })
+    , m_admin(m_io,
+              settings.admin,
+              {},
+              [this](HttpRequest request, CancellationPtr cancellation) {
+                  return m_adminApi.handle(std::move(request), std::move(cancellation));
+              })
+    , m_peers(
+          m_io,
+          m_faults,
+          {settings.peers, m_incarnation, 0},
+          [this](ForwardRequest request, CancellationPtr cancellation) {
+              return m_router.fromPeer(std::move(request), std::move(cancellation));
+          },
+          [this](const SettingsPull &pull) { return m_sync.answer(pull); })
+    , m_gossip(m_io,
+               m_faults,
+               settings.peers,
+               m_metrics,
+               [this](const DecodedMessage &message, const Endpoint &from) { receiveHeartbeat(message, from); })
+    , m_platform({m_io,
+                  *m_platformDialect,
+                  settings.platform,
+                  m_metrics,
+                  [this] { return isReader(); },
+                  [this](const SettingsVersion &version) { return m_sync.isNews(version); },
+                  [this](const PlatformValue &value) { m_sync.fromPlatform(value); },
+                  [this](const PlatformInstances &instances) { m_sync.fromPlatform(instances); }})
+    , m_pauses(m_metrics.counter("lspar_pauses_total"))
+{
+}
+
+int Instance::Private::run()
+{
+    start();
+    std::vector<std::thread> threads;
+    for (unsigned n = 1; n < settings.workers; ++n) {
+        threads.emplace_back([this] { m_io.run(); });
+    }
+    m_io.run();
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    logEvent(LogLevel::Info, "instance.stopped", {{"aborted", m_aborted.load()}});
+    return m_aborted == 0 ? 0 : 1;
+}
+
+void Instance::Private::start()
+{
+    logEvent(LogLevel::Info,
+             "instance.start",
+             {{"version", Version},
+              {"instance", toString(settings.peers)},
+              {"callers", toString(settings.callers)},
+              {"admin", toString(settings.admin)},
+              {"zone", settings.zone},
+              {"incarnation", m_incarnation}});
+    m_callers.start();
+    m_admin.start();
+    m_peers.start();
+    m_gossip.start();
+    m_platform.start();
+    spawn(m_io, "tick", [this] { return tickLoop(); });
+    spawn(m_io, "refresh", [this] { return refreshLoop(); });
+    spawn(m_io, "gossip", [this] { return gossipLoop(); });
+    spawn(m_io, "stop", [this] { return stopLoop(); });
+}
+
+awaitable<void> Instance::Private::tickLoop()
+{
+    auto last = Clock::now();
+    while (m_state != RunState::Stopped) {
+        co_await sleepFor(TickInterval);
+        const auto now = Clock::now();
+        if (now - last > PauseThreshold) {
+            noteGap(last, now);
+        }
+        last = now;
+        m_services.tick(now);
+    }
+}
+
+void Instance::Private::noteGap(TimePoint last, TimePoint now)
+{
+    m_pauses.add();
+    logEvent(
+        LogLevel::Warning, "process.paused", {{"ms", std::chrono::duration_cast<Milliseconds>(now - last).count()}});
+    m_membership.with([&](Membership &members) { members.noteOwnPause(last, now); });
+    m_services.notePause(last, now);
+}
+
+awaitable<void> Instance::Private::refreshLoop()
+{
+    while (m_state != RunState::Stopped) {
+        refresh(Clock::now());
+        co_await sleepFor(RefreshInterval);
+    }
+}
+
+void Instance::Private::refresh(TimePoint now)
+{
+    // A copy, since the settings lock comes before the membership lock and neither is held across the work below.
+    const auto store = m_store.with([](SettingsStore &current) { return current; });
+    const auto entries = store.entries();
+    auto loads = m_services.loads();
+    auto unreachable = m_services.unreachable();
+    const auto members = m_membership.with([&](Membership &membership) {
+        membership.hint(*entries, now);
+        membership.publish(std::move(loads), std::move(unreachable));
+        membership.publishSettings(store.digest());
+        return membership.view(now);
+    });
+    m_services.refresh(store, members, now);
+    for (const auto &member : members) {
+        for (const auto &load : member.loads) {
+            if (member.id != settings.peers) {
+                m_router.noteLoad(member.id, load, member.loadsAt);
+            }
+        }
+    }
+    const auto readers = settingsReaders(members);
+    m_reader = std::find(readers.begin(), readers.end(), settings.peers) != readers.end();
+    updateReadiness(members, now);
+    for (const auto &change : m_membership.with([](Membership &membership) { return membership.takeChanges(); })) {
+        logEvent(LogLevel::Info,
+                 "member.changed",
+                 {{"member", toString(change.id)}, {"from", name(change.from)}, {"to", name(change.to)}});
+    }
+}
+
+// An instance that starts must not serve settings older than those of the peers and the platform it can reach.
+void Instance::Private::updateReadiness(const std::vector<MemberView> &members, TimePoint now)
+{
+    if (m_state != RunState::Starting || now - m_startedAt < JoinTime) {
+        return;
+    }
+    const auto own = settingsHash(m_sync.known().known);
+    bool matched = false;
+    for (const auto &member : members) {
+        if (member.id != settings.peers && member.bidirectional) {
+            matched = matched || member.settingsHash == own;
+        }
+    }
+    const bool alone = m_membership.with([&](Membership &membership) { return membership.alone(now); });
+    const bool informed = m_platform.lastAnswer() != TimePoint() && !m_services.services().empty();
+    if ((matched && !m_services.services().empty()) || (alone && informed)) {
+        m_state = RunState::Ready;
+        logEvent(LogLevel::Info, "instance.ready", {{"from_peers", matched}});
+    }
+}
+
+awaitable<void> Instance::Private::gossipLoop()
+{
+    while (m_state != RunState::Stopped) {
+        const auto datagrams = m_membership.with([](Membership &membership) { return membership.tick(Clock::now()); });
+        for (const auto &datagram : datagrams) {
+            m_gossip.send(datagram.to, datagram.bytes);
+        }
+        co_await sleepFor(GossipInterval);
+    }
+}
+
+void Instance::Private::receiveHeartbeat(const DecodedMessage &message, const Endpoint &from)
+{
+    const auto *heartbeat = std::get_if<Heartbeat>(&message.message);
+    if (!heartbeat) {
+        m_metrics.counter("lspar_gossip_refused_total").add();
+        return;
+    }
+    const auto receipt = m_membership.with(
+        [&](Membership &membership) { return membership.receive(message.envelope, *heartbeat, from, Clock::now()); });
+    if (receipt != Receipt::Accepted) {
+        m_metrics.counter("lspar_heartbeats_refused_total", {{"reason", std::string(name(receipt))}}).add();
+        return;
+    }
+    if (m_sync.isBehind(heartbeat->settings)) {
+        m_links.pull(message.envelope.sender);
+    }
+}
+
+awaitable<void> Instance::Private::stopLoop()
+{
+    constexpr Milliseconds CheckInterval{20};
+    while (m_stopRequests == 0) {
+        co_await sleepFor(CheckInterval);
+    }
+    const auto begun = Clock::now();
+    m_state = RunState::Leaving;
+    m_membership.with([](Membership &membership) { membership.leave(); });
+    m_callers.startClosing();
+    logEvent(LogLevel::Info, "instance.leaving", {{"in_flight", requestsInFlight()}});
+    bool forced = false;
+    while (!forced && (Clock::now() - begun < LeavingTime || requestsInFlight() > 0)) {
+        co_await sleepFor(CheckInterval);
+        const bool late = settings.drainLimit.count() > 0 && Clock::now() - begun > settings.drainLimit;
+        forced = m_stopRequests > 1 || late;
+    }
+    m_callers.close();
+    if (forced) {
+        m_aborted = m_callers.abort() + m_peers.requestsInFlight();
+        logEvent(LogLevel::Warning, "instance.forced-stop", {{"aborted", m_aborted.load()}});
+        co_await sleepFor(std::chrono::milliseconds(200)); // lets the answers "may have run" leave
+    }
+    while (!forced && m_callers.connections() > 0 && Clock::now() - begun < LeavingTime * 2) {
+        co_await sleepFor(CheckInterval);
+    }
+    m_state = RunState::Stopped;
+    m_peers.close();
+    m_links.closeAll();
+    m_io.stop();
+}
+
+void Instance::Private::requestStop()
+{
+    ++m_stopRequests;
+}
+
+Instance::Instance(std::unique_ptr<Private> d)
+    : m_d(std::move(d))
+{
+}
+
+Instance::~Instance() = default;
+
+int Instance::run()
+{
+    return m_d->run();
+}
+
+void Instance::requestStop()
+{
+    m_d->requestStop();
+}
+
+void Instance::reload(const ProcessSettings &settings)
+{
+    setLogLevel(settings.logLevel);
+    logEvent(LogLevel::Info, "instance.reloaded", {{"log_level", settings.logLevel}});
+}
+
+Instance::Builder &Instance::Builder::settings(ProcessSettings settings)
+{
+    m_settings = std::move(settings);
+    return *this;
+}
+
+Instance::Builder &Instance::Builder::seed(std::uint64_t seed)
+{
+    m_seed = seed;
+    return *this;
+}
+
+std::unique_ptr<Instance> Instance::Builder::build() const
+{
+    return std::unique_ptr<Instance>(new Instance(std::make_unique<Private>(m_settings, m_seed)));
+}
+
+} // namespace laburnumspar
--- /dev/null
+++ b/src/net/io.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "laburnumspar/types.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace laburnumspar::detail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::ip::tcp;
+using asio::ip::udp;
+using boost::system::error_code;
+
+template <typename Protocol>
+typename Protocol::endpoint toAsio(const Endpoint &endpoint)
+{
+    return {asio::ip::make_address(endpoint.ip), endpoint.port};
+}
+
+template <typename AsioEndpoint>
+Endpoint fromAsio(const AsioEndpoint &endpoint)
+{
+    return {endpoint.address().to_string(), endpoint.port()};
+}
+
+/// Completion token of operations that report errors by value.
+inline constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
+
+/// Reports an exception that leaves a detached coroutine; std::bad_alloc and broken invariants end the process.
+void rethrowIfFatal(std::exception_ptr error, const char *where);
+
+/// Starts a detached coroutine on its own strand.
+template <typename Function>
+void spawn(asio::io_context &context, const char *where, Function function)
+{
+    asio::co_spawn(asio::make_strand(context), std::move(function), [where](std::exception_ptr error) {
+        rethrowIfFatal(std::move(error), where);
+    });
+}
+
+/// Waits for the given time; false if cancelled.
+awaitable<bool> sleepFor(Clock::duration duration);
+
+/// A value that is set at most once, by any thread, and awaited by one coroutine.
+template <typename T>
+class OneShot
+{
+public:
+    OneShot()
+        : m_state(std::make_shared<State>())
+    {
+    }
+
+    /// The first value counts; later ones are ignored. Returns whether this was the first.
+    bool set(T value) const
+    {
+        std::function<void(T)> waiter;
+        {
+            std::lock_guard lock(m_state->mutex);
+            if (m_state->done) {
+                return false;
+            }
+            m_state->done = true;
+            if (!m_state->waiter) {
+                m_state->value = std::move(value);
+                return true;
+            }
+            waiter = std::move(m_state->waiter);
+        }
+        waiter(std::move(value));
+        return true;
+    }
+
+    awaitable<T> wait() const
+    {
+        auto state = m_state;
+        co_return co_await asio::async_initiate<decltype(asio::use_awaitable), void(T)>(
+            [state](auto handler) { arm(*state, std::move(handler)); }, asio::use_awaitable);
+    }
+
+private:
+    struct State {
+        std::mutex mutex;
+        bool done = false;
+        std::optional<T> value;
+        std::function<void(T)> waiter;
+    };
+
+    template <typename Handler>
+    static void arm(State &state, Handler handler)
+    {
+        auto shared = std::make_shared<Handler>(std::move(handler));
+        auto complete = [shared](T value) {
+            auto executor = asio::get_associated_executor(*shared);
+            asio::post(executor, [shared, value = std::move(value)]() mutable { (*shared)(std::move(value)); });
+        };
+        std::unique_lock lock(state.mutex);
+        if (!state.value) {
+            state.waiter = std::move(complete);
+            return;
+        }
+        T value = std::move(*state.value);
+        lock.unlock();
+        complete(std::move(value));
+    }
+
+    std::shared_ptr<State> m_state;
+};
+
+/// Tells the parts of one request that its caller has gone. Shared, since the parts end in any order.
+class Cancellation
+{
+public:
+    /// Calls every callback once; later callbacks are called at once.
+    void cancel();
+    bool isCancelled() const;
+    /// Returns a key for `removeCallback`; 0 if the request was already cancelled and the callback was called.
+    std::size_t addCallback(std::function<void()> callback);
+    void removeCallback(std::size_t key);
+
+private:
+    mutable std::mutex m_mutex;
+    bool m_cancelled = false;
+    std::size_t m_nextKey = 1;
+    std::vector<std::pair<std::size_t, std::function<void()>>> m_callbacks;
+};
+
+using CancellationPtr = std::shared_ptr<Cancellation>;
+
+/// Keeps a cancellation callback registered for the lifetime of a scope.
+class CancellationScope
+{
+public:
+    CancellationScope(CancellationPtr cancellation, std::function<void()> callback);
+    ~CancellationScope();
+    CancellationScope(const CancellationScope &) = delete;
+    CancellationScope &operator=(const CancellationScope &) = delete;
+
+private:
+    CancellationPtr m_cancellation;
+    std::size_t m_key;
+};
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/peerlinks.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "laburnumspar/messages.h"
+#include "net/faultswitch.h"
+#include "net/framestream.h"
+
+#include <map>
+
+namespace laburnumspar::detail {
+
+/// Connections to other instances, opened on demand and shared by all requests.
+class PeerLinks
+{
+public:
+    using SettingsHook = std::function<void(const InstanceId &from, const SettingsValue &)>;
+    /// Versions that this instance has; sent along to check that a silent peer is alive.
+    using KnownHook = std::function<SettingsPull()>;
+
+    struct Limits {
+        Milliseconds connectTimeout{250};
+        /// A link with requests outstanding that stays silent this long is checked, then closed.
+        Milliseconds silenceCheck{200};
+        Milliseconds silenceLimit{700};
+        std::size_t maxQueuedBytes = 32 << 20;
+    };
+
+    PeerLinks(asio::io_context &context,
+              const FaultSwitch &faults,
+              Envelope self,
+              Limits limits,
+              SettingsHook onSettings,
+              KnownHook known);
+
+    /// Sends the request and waits for its reply until the deadline. A link that fails gives NotRun if the request
+    /// was never written, else MayHaveRun, with Reason::ConnectionLost.
+    awaitable<ForwardReply>
+    forward(InstanceId peer, ForwardRequest request, TimePoint deadline, CancellationPtr cancellation);
+    /// Asks a peer for newer settings; they arrive through the settings hook.
+    void pull(const InstanceId &peer);
+    void closeAll();
+    std::size_t count() const;
+
+private:
+    class Link;
+
+    std::shared_ptr<Link> linkTo(const InstanceId &peer);
+    void forget(const InstanceId &peer, const Link *link);
+
+    asio::io_context &m_context;
+    const FaultSwitch &m_faults;
+    Envelope m_self;
+    Limits m_limits;
+    SettingsHook m_onSettings;
+    KnownHook m_known;
+    std::atomic<std::uint64_t> m_nextId = 1;
+    mutable std::mutex m_mutex; // lock rank: Links
+    std::map<InstanceId, std::shared_ptr<Link>> m_links;
+};
+
+/// Serves the requests of other instances.
+class PeerServer
+{
+public:
+    using ForwardHook = std::function<awaitable<ForwardReply>(ForwardRequest, CancellationPtr)>;
+    using PullHook = std::function<std::vector<SettingsValue>(const SettingsPull &)>;
+
+    /// Binds at once; throws TransportError if the address is taken.
+    PeerServer(
+        asio::io_context &context, const FaultSwitch &faults, Envelope self, ForwardHook onForward, PullHook onPull);
+
+    void start();
+    void close();
+    std::size_t requestsInFlight() const;
+
+private:
+    class Session;
+    struct State;
+
+    awaitable<void> accept();
+
+    asio::io_context &m_context;
+    tcp::acceptor m_acceptor;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/peerserver.cpp
@@ -0,0 +1,159 @@
+#include "laburnumspar/errors.h"
+#include "laburnumspar/log.h"
+#include "net/peerlinks.h"
+
+namespace laburnumspar::detail {
+
+namespace {
+
+tcp::acceptor bindTo(asio::io_context &context, const Endpoint &endpoint)
+{
+    try {
+        return tcp::acceptor(asio::make_strand(context), toAsio<tcp>(endpoint));
+    } catch (const boost::system::system_error &e) {
+        throw TransportError("cannot listen on " + toString(endpoint) + ": " + e.code().message());
+    }
+}
+
+} // namespace
+
+struct PeerServer::State {
+    const FaultSwitch &faults;
+    Envelope self;
+    ForwardHook onForward;
+    PullHook onPull;
+    std::atomic<std::size_t> inFlight = 0;
+};
+
+/// One connection from another instance.
+class PeerServer::Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(std::shared_ptr<State> state, tcp::socket socket)
+        : m_state(std::move(state))
+        , m_stream(std::make_shared<FrameStream>(std::move(socket)))
+    {
+    }
+
+    awaitable<void> run()
+    {
+        auto self = shared_from_this();
+        while (auto message = co_await m_stream->receive()) {
+            m_peer = message->envelope.sender;
+            if (m_state->faults.passesIncoming(m_peer)) {
+                handle(std::move(message->message));
+            }
+        }
+        // The peer has gone: what it sent and what has not started yet must not start.
+        for (auto &[id, cancellation] : std::exchange(m_running, {})) {
+            cancellation->cancel();
+        }
+    }
+
+private:
+    void handle(Message message)
+    {
+        if (auto *request = std::get_if<ForwardRequest>(&message)) {
+            start(std::move(*request));
+        } else if (const auto *cancel = std::get_if<ForwardCancel>(&message)) {
+            if (const auto it = m_running.find(cancel->id); it != m_running.end()) {
+                it->second->cancel();
+            }
+        } else if (const auto *pull = std::get_if<SettingsPull>(&message)) {
+            for (auto &values : m_state->onPull(*pull)) {
+                transmit(std::move(values));
+            }
+        }
+    }
+
+    void start(ForwardRequest request)
+    {
+        auto cancellation = std::make_shared<Cancellation>();
+        m_running[request.id] = cancellation;
+        ++m_state->inFlight;
+        asio::co_spawn(
+            m_stream->socket().get_executor(),
+            [self = shared_from_this(), request = std::move(request), cancellation]() mutable {
+                return self->answer(std::move(request), cancellation);
+            },
+            [state = m_state](std::exception_ptr error) {
+                --state->inFlight;
+                rethrowIfFatal(std::move(error), "peer.forward");
+            });
+    }
+
+    awaitable<void> answer(ForwardRequest request, CancellationPtr cancellation)
+    {
+        const auto id = request.id;
+        auto reply = co_await m_state->onForward(std::move(request), cancellation);
+        m_running.erase(id);
+        reply.id = id;
+        transmit(std::move(reply));
+    }
+
+    void transmit(Message message)
+    {
+        if (m_state->faults.passesOutgoing(m_peer)) {
+            m_stream->send(encode(m_state->self, message));
+        }
+    }
+
+    std::shared_ptr<State> m_state;
+    FrameStreamPtr m_stream;
+    InstanceId m_peer;
+    std::map<std::uint64_t, CancellationPtr> m_running;
+};
+
+PeerServer::PeerServer(
+    asio::io_context &context, const FaultSwitch &faults, Envelope self, ForwardHook onForward, PullHook onPull)
+    : m_context(context)
+    , m_acceptor(bindTo(context, self.sender))
+    , m_state(new State{faults, std::move(self), std::move(onForward), std::move(onPull)})
+{
+}
+
+void PeerServer::start()
+{
+    asio::co_spawn(m_acceptor.get_executor(), accept(), [](std::exception_ptr error) {
+        rethrowIfFatal(std::move(error), "peer.accept");
+    });
+}
+
+void PeerServer::close()
+{
+    asio::post(m_acceptor.get_executor(), [this] {
+        error_code ignored;
+        m_acceptor.close(ignored);
+    });
+}
+
+std::size_t PeerServer::requestsInFlight() const
+{
+    return m_state->inFlight;
+}
+
+awaitable<void> PeerServer::accept()
+{
+    // Out of file descriptors: waits until connections have been closed instead of spinning.
+    constexpr Milliseconds RetryDelay{50};
+    while (m_acceptor.is_open()) {
+        auto [ec, socket] = co_await m_acceptor.async_accept(asio::make_strand(m_context), Awaitable);
+        if (ec == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (ec) {
+            co_await sleepFor(RetryDelay);
+            continue;
+        }
+        error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto executor = socket.get_executor();
+        auto session = std::make_shared<Session>(m_state, std::move(socket));
+        asio::co_spawn(
+            executor,
+            [session] { return session->run(); },
+            [](std::exception_ptr error) { rethrowIfFatal(std::move(error), "peer.session"); });
+    }
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/platformreader.cpp
@@ -0,0 +1,154 @@
+#include "net/platformreader.h"
+
+#include "laburnumspar/errors.h"
+#include "laburnumspar/log.h"
+
+namespace laburnumspar::detail {
+
+namespace {
+
+constexpr Milliseconds CallInterval{1000}; // at most one call a second and kind
+constexpr Milliseconds WatchTime{10000};
+constexpr Milliseconds CallTimeout{2000};
+constexpr Milliseconds RoleCheckInterval{200};
+constexpr std::uint64_t MaxAnswerBytes = 64 << 20;
+// Bounds the reads after a long outage: three readers stay under 300 calls a second together.
+constexpr Milliseconds ReadInterval{10};
+constexpr std::string_view ValuesPrefix = "/teams/";
+
+// Result of the parser; empty, with a log event, for a reply that cannot be decoded.
+template <typename Parser>
+auto parse(std::string_view call, Parser parser) -> std::optional<decltype(parser())>
+{
+    try {
+        return parser();
+    } catch (const DecodeError &e) {
+        logEvent(LogLevel::Warning, "platform.bad-answer", {{"call", call}, {"error", e.what()}});
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+PlatformReader::PlatformReader(Context context)
+    : m_context(std::move(context))
+    , m_calls(m_context.metrics.counter("lspar_platform_calls_total"))
+    , m_failures(m_context.metrics.counter("lspar_platform_failures_total"))
+{
+}
+
+void PlatformReader::start()
+{
+    if (m_context.platform.empty()) {
+        return;
+    }
+    spawn(m_context.io, "platform.values", [this] { return watchValues(); });
+    spawn(m_context.io, "platform.instances", [this] { return pollInstances(); });
+}
+
+awaitable<void> PlatformReader::watchValues()
+{
+    std::uint64_t after = 0;
+    while (!m_stopped) {
+        if (!m_context.isReader()) {
+            after = 0; // what the platform changed meanwhile is not known
+            co_await sleepFor(RoleCheckInterval);
+            continue;
+        }
+        const auto begun = Clock::now();
+        const auto wait = after == 0 ? Milliseconds(0) : WatchTime;
+        const auto body = co_await get(m_context.dialect.watchTarget(ValuesPrefix, after, wait), wait + CallTimeout);
+        std::optional<PlatformVersions> changes;
+        if (body) {
+            changes = parse("watch", [&] { return m_context.dialect.parseChanges(*body); });
+        }
+        const bool complete = changes && co_await readChanges(changes->values);
+        if (complete) {
+            after = std::max(after, changes->version);
+        }
+        co_await idle(begun, !complete);
+    }
+}
+
+awaitable<bool> PlatformReader::readChanges(const std::vector<SettingsVersion> &changes)
+{
+    bool complete = true;
+    for (const auto &change : changes) {
+        if (!m_context.isNews(change)) {
+            continue;
+        }
+        const auto body = co_await get(m_context.dialect.readTarget(change.path), CallTimeout);
+        std::optional<PlatformValue> value;
+        if (body) {
+            value = parse("read", [&] { return m_context.dialect.parseValue(*body); });
+        }
+        if (value) {
+            m_context.onValue(*value);
+        }
+        complete = complete && value.has_value();
+        co_await sleepFor(ReadInterval);
+    }
+    co_return complete;
+}
+
+awaitable<void> PlatformReader::pollInstances()
+{
+    while (!m_stopped) {
+        if (!m_context.isReader()) {
+            co_await sleepFor(RoleCheckInterval);
+            continue;
+        }
+        const auto begun = Clock::now();
+        const auto body = co_await get(m_context.dialect.instancesTarget(), CallTimeout);
+        std::optional<PlatformInstances> instances;
+        if (body) {
+            instances = parse("instances", [&] { return m_context.dialect.parseInstances(*body); });
+        }
+        if (instances) {
+            m_context.onInstances(*instances);
+        }
+        co_await idle(begun, !instances);
+    }
+}
+
+awaitable<void> PlatformReader::idle(TimePoint begun, bool failed)
+{
+    if (failed) {
+        m_failures.add();
+        ++m_nextAddress;
+    }
+    const auto rest = CallInterval - (Clock::now() - begun);
+    if (rest > Clock::duration::zero()) {
+        co_await sleepFor(rest);
+    }
+}
+
+awaitable<std::optional<std::string>> PlatformReader::get(std::string target, Milliseconds timeout)
+{
+    m_calls.add();
+    const auto &address = m_context.platform[m_nextAddress % m_context.platform.size()];
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(timeout);
+    auto [connectError] = co_await stream.async_connect(toAsio<tcp>(address), Awaitable);
+    if (connectError) {
+        co_return std::nullopt;
+    }
+    http::request<http::empty_body> request{http::verb::get, target, 11};
+    request.set(http::field::host, toString(address));
+    request.keep_alive(false);
+    auto [writeError, written] = co_await http::async_write(stream, request, Awaitable);
+    if (writeError) {
+        co_return std::nullopt;
+    }
+    beast::flat_buffer buf;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(MaxAnswerBytes);
+    auto [readError, n] = co_await http::async_read(stream, buf, parser, Awaitable);
+    if (readError || parser.get().result() != http::status::ok) {
+        co_return std::nullopt;
+    }
+    m_lastAnswer = Clock::now();
+    co_return std::move(parser.get().body());
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/router.cpp
@@ -0,0 +1,305 @@
+#include "net/router.h"
+
+#include "laburnumspar/log.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+constexpr unsigned MaxDispatchers = 3; // one in each availability zone of today
+constexpr Milliseconds AvoidAfterLinkFailure{1000};
+// The reply of a dispatcher that gave up at the deadline needs time to travel.
+constexpr Milliseconds ReplyGrace{20};
+
+// Refusals that another dispatcher with room may not share.
+bool isRefusedByLoad(Reason reason)
+{
+    return reason == Reason::QueueFull || reason == Reason::DeadlineTooShort || reason == Reason::TeamShareExceeded;
+}
+
+bool isRefusedByView(Reason reason)
+{
+    return reason == Reason::NoUpstream || reason == Reason::NotReady || reason == Reason::Leaving
+        || reason == Reason::ConnectionLost || reason == Reason::UnknownService;
+}
+
+WorkResult failure(Outcome outcome, Reason reason, std::string detail = {})
+{
+    return {outcome, reason, 0, {}, {}, {}, std::move(detail)};
+}
+
+// Tells a repeat of a request from another request that carries the same identifier by mistake.
+std::uint64_t fingerprint(const Work &work)
+{
+    const auto head = work.service + '\n' + work.method + '\n' + work.path + '\n' + work.team;
+    return XXH64(work.body.data(), work.body.size(), XXH64(head.data(), head.size(), 0));
+}
+
+WorkResult toResult(ForwardReply reply)
+{
+    return {reply.outcome,
+            reply.reason,
+            reply.status,
+            std::move(reply.contentType),
+            std::move(reply.body),
+            std::move(reply.upstream),
+            std::move(reply.detail)};
+}
+
+} // namespace
+
+ForwardRequest toForward(const Work &work, HopKind hop, TimePoint now)
+{
+    ForwardRequest request;
+    request.hop = hop;
+    request.service = work.service;
+    request.path = work.path;
+    request.method = work.method;
+    request.team = work.team;
+    request.workClass = work.workClass;
+    const auto remaining = std::chrono::duration_cast<Milliseconds>(work.deadline - now).count();
+    request.deadlineMs = static_cast<std::uint32_t>(std::max<std::int64_t>(remaining, 0));
+    request.idempotent = work.idempotent;
+    request.requestId = work.requestId;
+    request.contentType = work.contentType;
+    request.body = work.body;
+    return request;
+}
+
+Work toWork(ForwardRequest request, TimePoint now)
+{
+    Work work;
+    work.service = std::move(request.service);
+    work.path = std::move(request.path);
+    work.method = std::move(request.method);
+    work.team = std::move(request.team);
+    work.requestId = std::move(request.requestId);
+    work.contentType = std::move(request.contentType);
+    work.body = std::move(request.body);
+    work.workClass = request.workClass;
+    work.idempotent = request.idempotent;
+    work.deadline = now + Milliseconds(request.deadlineMs);
+    return work;
+}
+
+Router::Router(Context context)
+    : m_context(std::move(context))
+    , m_loads(LockRank::Links)
+    , m_forwarded(m_context.metrics.counter("lspar_forwarded_total"))
+    , m_ownerGone(m_context.metrics.counter("lspar_owner_gone_total"))
+    , m_duplicates(m_context.metrics.counter("lspar_duplicate_requests_total"))
+    , m_failovers(m_context.metrics.counter("lspar_failovers_total"))
+{
+    m_loads.with([&](Loads &loads) { loads.random.seed(m_context.seed); });
+}
+
+awaitable<WorkResult> Router::fromCaller(Work work, CancellationPtr cancellation)
+{
+    if (work.idempotent) {
+        co_return co_await dispatch(work, std::move(cancellation));
+    }
+    co_return co_await runOnce(std::move(work), std::move(cancellation));
+}
+
+awaitable<ForwardReply> Router::fromPeer(ForwardRequest request, CancellationPtr cancellation)
+{
+    const auto hop = request.hop;
+    auto work = toWork(std::move(request), Clock::now());
+    const auto service = work.service;
+    WorkResult result;
+    if (hop == HopKind::ToOwner) {
+        const auto id = parseRequestId(work.requestId);
+        const bool own = id && id->owner == m_context.self;
+        result = own ? co_await runClaimed(*id, std::move(work), std::move(cancellation))
+                     : failure(Outcome::MayHaveRun, Reason::IdentifierInvalid, "not the owner of the identifier");
+    } else {
+        result = co_await dispatchAt(m_context.self, work, std::move(cancellation));
+    }
+    ForwardReply reply;
+    reply.outcome = result.outcome;
+    reply.reason = result.reason;
+    reply.status = static_cast<std::uint16_t>(result.status);
+    reply.contentType = std::move(result.contentType);
+    reply.body = std::move(result.body);
+    reply.upstream = std::move(result.upstream);
+    reply.detail = std::move(result.detail);
+    if (const auto runtime = m_context.services.runtime(service)) {
+        reply.load = runtime->load();
+    }
+    co_return reply;
+}
+
+awaitable<WorkResult> Router::runOnce(Work work, CancellationPtr cancellation)
+{
+    auto id = parseRequestId(work.requestId);
+    if (!id) {
+        id = idForCaller(work, Clock::now());
+    }
+    if (!id) {
+        co_return failure(Outcome::NotRun, Reason::TableFull);
+    }
+    if (id->owner == m_context.self) {
+        co_return co_await runClaimed(*id, std::move(work), std::move(cancellation));
+    }
+    co_return co_await forwardToOwner(*id, std::move(work), std::move(cancellation));
+}
+
+awaitable<WorkResult> Router::forwardToOwner(const RequestId &id, Work work, CancellationPtr cancellation)
+{
+    m_forwarded.add();
+    const auto deadline = work.deadline;
+    auto request = toForward(work, HopKind::ToOwner, Clock::now());
+    auto reply = co_await m_context.links.forward(id.owner, std::move(request), deadline + ReplyGrace, cancellation);
+    if (reply.reason == Reason::ConnectionLost) {
+        // This message may not have arrived, but an earlier one with the same identifier may have.
+        m_ownerGone.add();
+        co_return failure(Outcome::MayHaveRun, Reason::OwnerGone, "the owner of the identifier cannot be reached");
+    }
+    co_return toResult(std::move(reply));
+}
+
+WorkResult Router::refusedClaim(const ClaimResult &claim)
+{
+    switch (claim.state) {
+    case ClaimState::Done:
+        m_duplicates.add();
+        if (claim.answer && claim.answer->whole) {
+            const auto &answer = *claim.answer;
+            return {
+                answer.outcome, answer.reason, answer.status, answer.contentType, answer.body, {}, "repeated answer"};
+        }
+        return failure(Outcome::MayHaveRun, Reason::DuplicateRequest, "the request has already been run");
+    case ClaimState::InFlight:
+        m_duplicates.add();
+        return failure(Outcome::MayHaveRun, Reason::DuplicateRequest, "the request is being run");
+    case ClaimState::OtherRequest:
+        m_duplicates.add();
+        return failure(Outcome::NotRun, Reason::DuplicateRequest, "the identifier belongs to another request");
+    case ClaimState::Expired:
+        return failure(Outcome::MayHaveRun, Reason::IdentifierExpired);
+    case ClaimState::NotOwner:
+        m_ownerGone.add();
+        return failure(Outcome::MayHaveRun, Reason::OwnerGone, "the owner of the identifier has been restarted");
+    case ClaimState::TableFull:
+        return failure(Outcome::NotRun, Reason::TableFull);
+    default:
+        return failure(Outcome::NotRun, Reason::IdentifierInvalid, "identifier was never issued");
+    }
+}
+
+awaitable<WorkResult> Router::runClaimed(const RequestId &id, Work work, CancellationPtr cancellation)
+{
+    const auto claim
+        = m_context.claims.with([&](ClaimTable &claims) { return claims.claim(id, Clock::now(), fingerprint(work)); });
+    if (claim.state != ClaimState::Run) {
+        co_return refusedClaim(claim);
+    }
+    auto result = co_await dispatch(work, std::move(cancellation));
+    m_context.claims.with([&](ClaimTable &claims) {
+        StoredAnswer answer{result.outcome, result.reason, {}, result.contentType, result.body, true};
+        answer.status = static_cast<std::uint16_t>(result.status);
+        claims.complete(id, std::move(answer), Clock::now());
+    });
+    co_return result;
+}
+
+awaitable<WorkResult> Router::dispatch(const Work &work, CancellationPtr cancellation)
+{
+    std::vector<InstanceId> tried;
+    auto result = failure(Outcome::NotRun, Reason::NoUpstream, "no dispatcher can be reached");
+    bool mayHaveRun = false;
+    while (tried.size() < MaxDispatchers) {
+        const bool refusedByLoad = isRefusedByLoad(result.reason);
+        const auto dispatcher = choose(work, tried, refusedByLoad);
+        if (!dispatcher) {
+            break;
+        }
+        if (!tried.empty()) {
+            m_failovers.add();
+        }
+        result = co_await dispatchAt(*dispatcher, work, cancellation);
+        mayHaveRun = mayHaveRun || result.outcome == Outcome::MayHaveRun;
+        if (result.outcome == Outcome::NotRun && mayHaveRun) {
+            result.outcome = Outcome::MayHaveRun;
+        }
+        const bool repeatable = !mayHaveRun || work.idempotent;
+        const bool elsewhere
+            = result.outcome != Outcome::Answered && (isRefusedByLoad(result.reason) || isRefusedByView(result.reason));
+        if (!elsewhere || !repeatable || Clock::now() >= work.deadline) {
+            break;
+        }
+        tried.push_back(*dispatcher);
+    }
+    co_return result;
+}
+
+awaitable<WorkResult> Router::dispatchAt(InstanceId dispatcher, const Work &work, CancellationPtr cancellation)
+{
+    if (dispatcher == m_context.self) {
+        const auto runtime = m_context.services.runtime(work.service);
+        if (!runtime) {
+            co_return failure(Outcome::NotRun, Reason::UnknownService);
+        }
+        co_return co_await runtime->execute(work, std::move(cancellation));
+    }
+    m_forwarded.add();
+    m_loads.with([&](Loads &loads) { loads.table.noteSent(dispatcher, work.service); });
+    auto request = toForward(work, HopKind::ToDispatcher, Clock::now());
+    auto reply
+        = co_await m_context.links.forward(dispatcher, std::move(request), work.deadline + ReplyGrace, cancellation);
+    const auto now = Clock::now();
+    m_loads.with([&](Loads &loads) {
+        loads.table.noteDone(dispatcher, work.service);
+        if (reply.reason == Reason::ConnectionLost) {
+            loads.table.avoidUntil(dispatcher, now + AvoidAfterLinkFailure);
+        } else if (reply.load.service == work.service) {
+            loads.table.update(dispatcher, reply.load, now);
+        }
+    });
+    co_return toResult(std::move(reply));
+}
+
+std::optional<InstanceId> Router::choose(const Work &work, const std::vector<InstanceId> &exclude, bool onlyWithRoom)
+{
+    const auto candidates = m_context.services.dispatchers(work.service);
+    const auto now = Clock::now();
+    const auto own = m_context.services.runtime(work.service);
+    const auto ownLoad = own ? std::optional(own->load()) : std::nullopt;
+    return m_loads.with([&](Loads &loads) -> std::optional<InstanceId> {
+        if (ownLoad) {
+            loads.table.update(m_context.self, *ownLoad, now);
+        }
+        auto choice
+            = loads.table.choose(work.service, work.workClass, candidates, exclude, m_context.zone, now, loads.random);
+        if (choice && onlyWithRoom && !loads.table.hasRoom(*choice, work.service)) {
+            return std::nullopt;
+        }
+        return choice;
+    });
+}
+
+std::optional<RequestId> Router::idForCaller(const Work &work, TimePoint now)
+{
+    return m_context.claims.with(
+        [&](ClaimTable &claims) { return m_callerIds.idFor(work.team, work.requestId, claims, now); });
+}
+
+void Router::noteLoad(const InstanceId &dispatcher, const ServiceLoad &load, TimePoint at)
+{
+    m_loads.with([&](Loads &loads) { loads.table.update(dispatcher, load, at); });
+}
+
+std::vector<std::string> Router::issueIds(std::size_t count)
+{
+    const auto ids = m_context.claims.with([&](ClaimTable &claims) { return claims.issue(count, Clock::now()); });
+    std::vector<std::string> texts;
+    for (const auto &id : ids) {
+        texts.push_back(toString(id));
+    }
+    return texts;
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/router.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "laburnumspar/claims.h"
+#include "laburnumspar/routing.h"
+#include "net/callerids.h"
+#include "net/peerlinks.h"
+#include "net/servicetable.h"
+
+namespace laburnumspar::detail {
+
+/// Takes each request to the instance which may run it: the owner of its identifier, then a dispatcher.
+class Router
+{
+public:
+    struct Context {
+        InstanceId self;
+        std::string zone;
+        std::uint64_t incarnation;
+        std::uint64_t seed;
+        Guarded<ClaimTable> &claims;
+        ServiceTable &services;
+        PeerLinks &links;
+        MetricsRegistry &metrics;
+    };
+
+    explicit Router(Context context);
+
+    /// A request that came from a caller. Fills in what the settings of its route say.
+    awaitable<WorkResult> fromCaller(Work work, CancellationPtr cancellation);
+    /// A request that another instance forwarded.
+    awaitable<ForwardReply> fromPeer(ForwardRequest request, CancellationPtr cancellation);
+
+    /// Takes over the loads that a dispatcher published.
+    void noteLoad(const InstanceId &dispatcher, const ServiceLoad &load, TimePoint at);
+    /// New identifiers owned by this instance, in text form.
+    std::vector<std::string> issueIds(std::size_t count);
+
+private:
+    struct Loads {
+        DispatcherLoads table;
+        std::mt19937_64 random;
+    };
+
+    /// Identifier that stands for one made by a caller; empty if no more can be remembered.
+    std::optional<RequestId> idForCaller(const Work &work, TimePoint now);
+    WorkResult refusedClaim(const ClaimResult &claim);
+    awaitable<WorkResult> runOnce(Work work, CancellationPtr cancellation);
+    awaitable<WorkResult> runClaimed(const RequestId &id, Work work, CancellationPtr cancellation);
+    awaitable<WorkResult> forwardToOwner(const RequestId &id, Work work, CancellationPtr cancellation);
+    awaitable<WorkResult> dispatch(const Work &work, CancellationPtr cancellation);
+    awaitable<WorkResult> dispatchAt(InstanceId dispatcher, const Work &work, CancellationPtr cancellation);
+    std::optional<InstanceId> choose(const Work &work, const std::vector<InstanceId> &exclude, bool onlyWithRoom);
+
+    Context m_context;
+    Guarded<Loads> m_loads;
+    CallerIds m_callerIds; // under the lock of the claims
+    Counter &m_forwarded;
+    Counter &m_ownerGone;
+    Counter &m_duplicates;
+    Counter &m_failovers;
+};
+
+/// A request in the form that travels between instances.
+ForwardRequest toForward(const Work &work, HopKind hop, TimePoint now);
+Work toWork(ForwardRequest request, TimePoint now);
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/settingssync.cpp
@@ -0,0 +1,108 @@
+#include "net/settingssync.h"
+
+#include "laburnumspar/log.h"
+
+#include <algorithm>
+#include <map>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+// Leaves room in a frame for paths and headers.
+constexpr std::size_t MaxTextBytes = MaxFrameBytes - 256 * 1024;
+
+} // namespace
+
+void SettingsSync::fromPlatform(const PlatformValue &value)
+{
+    offer(value.path, value.version, value.value, "platform");
+}
+
+bool SettingsSync::isNews(const SettingsVersion &version) const
+{
+    return m_store.with([&](SettingsStore &store) { return !store.missing({version}).empty(); });
+}
+
+void SettingsSync::fromPlatform(const PlatformInstances &instances)
+{
+    offer(std::string(InstanceListPath), instances.version, instanceListText(instances.instances), "platform");
+    std::map<std::string, std::vector<UpstreamEntry>> services;
+    for (const auto &upstream : instances.upstreams) {
+        services[upstream.service].push_back(upstream);
+    }
+    // A service whose last upstream has gone is not in the list any more.
+    for (const auto &service : m_store.with([](SettingsStore &store) { return store.services(); })) {
+        services.try_emplace(service);
+    }
+    for (auto &[service, upstreams] : services) {
+        offer(upstreamListPath(service), instances.version, upstreamListText(std::move(upstreams)), "platform");
+    }
+}
+
+void SettingsSync::fromPeer(const InstanceId &peer, const SettingsValue &values)
+{
+    const auto source = toString(peer);
+    for (const auto &value : values.values) {
+        offer(value.path, value.version, value.text, source);
+    }
+}
+
+void SettingsSync::offer(const std::string &path,
+                         std::uint64_t version,
+                         const std::string &text,
+                         std::string_view source)
+{
+    const auto result = m_store.with([&](SettingsStore &store) { return store.offer(path, version, text); });
+    if (result.kind == OfferResult::Kind::Accepted) {
+        ++m_revision;
+        logEvent(LogLevel::Info, "settings.accepted", {{"path", path}, {"version", version}, {"source", source}});
+    } else if (result.kind == OfferResult::Kind::Rejected) {
+        logEvent(LogLevel::Warning,
+                 "settings.rejected",
+                 {{"path", path}, {"version", version}, {"source", source}, {"reason", result.reason}});
+    } else if (result.kind == OfferResult::Kind::Same) {
+        ++m_revision;
+    }
+}
+
+SettingsPull SettingsSync::known() const
+{
+    return {m_store.with([](SettingsStore &store) { return store.digest(); })};
+}
+
+std::vector<SettingsValue> SettingsSync::answer(const SettingsPull &pull) const
+{
+    std::map<std::string, std::uint64_t> known;
+    for (const auto &entry : pull.known) {
+        known[entry.path] = entry.version;
+    }
+    return m_store.with([&](SettingsStore &store) {
+        std::vector<SettingsValue> frames(1);
+        std::size_t bytes = 0;
+        for (const auto &entry : store.digest()) {
+            const auto it = known.find(entry.path);
+            const auto value = store.value(entry.path);
+            if (!value || (it != known.end() && it->second >= entry.version)) {
+                continue;
+            }
+            if (bytes + value->text.size() > MaxTextBytes) {
+                frames.emplace_back();
+                bytes = 0;
+            }
+            bytes += value->text.size();
+            frames.back().values.push_back({entry.path, value->version, value->text});
+        }
+        return frames;
+    });
+}
+
+bool SettingsSync::isBehind(const SettingsDigest &digest) const
+{
+    return m_store.with([&](SettingsStore &store) {
+        const auto own = store.digest();
+        return settingsHash(own) != digest.hash && (own.empty() || !store.missing(digest.window).empty());
+    });
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/net/upstreamclient.cpp
@@ -0,0 +1,276 @@
+#include "net/upstreamclient.h"
+
+#include "laburnumspar/errors.h"
+
+#include <sys/socket.h>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+Request toBeast(const HttpMessage &message)
+{
+    Request request{http::string_to_verb(message.method), message.target, 11};
+    for (const auto &[name, value] : message.headers) {
+        request.set(name, value);
+    }
+    request.set(http::field::host, "upstream");
+    request.body() = message.body;
+    request.prepare_payload();
+    return request;
+}
+
+HttpMessage fromBeast(Response &response)
+{
+    HttpMessage message;
+    message.status = response.result_int();
+    for (const auto &field : response) {
+        message.headers.emplace_back(field.name_string(), field.value());
+    }
+    message.body = std::move(response.body());
+    return message;
+}
+
+// An idle connection with pending bytes, or closed by the upstream, must not carry another request.
+bool isQuiet(tcp::socket &socket)
+{
+    char byte = 0;
+    const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+// Lets a callback that is posted to the strand of a coroutine see that the stream has gone in the meantime.
+class StreamHandle
+{
+public:
+    explicit StreamHandle(beast::tcp_stream &stream)
+        : m_target(std::make_shared<beast::tcp_stream *>(&stream))
+    {
+    }
+    ~StreamHandle()
+    {
+        *m_target = nullptr;
+    }
+    StreamHandle(const StreamHandle &) = delete;
+    StreamHandle &operator=(const StreamHandle &) = delete;
+
+    std::shared_ptr<beast::tcp_stream *> target() const
+    {
+        return m_target;
+    }
+
+private:
+    std::shared_ptr<beast::tcp_stream *> m_target;
+};
+
+Reason readFailure(const error_code &ec)
+{
+    if (ec == beast::error::timeout) {
+        return Reason::Timeout;
+    }
+    const bool cut = ec == http::error::partial_message || ec == http::error::body_limit;
+    return cut ? Reason::TruncatedAnswer : Reason::ConnectionLost;
+}
+
+} // namespace
+
+/// A connection slot of one upstream; gives the slot back, with the connection if it may be used again.
+class UpstreamClient::Lease
+{
+public:
+    Lease(UpstreamClient &client, UpstreamId upstream)
+        : m_client(client)
+        , m_upstream(std::move(upstream))
+    {
+    }
+    ~Lease()
+    {
+        m_client.release(m_upstream, m_reusable ? std::optional(stream->release_socket()) : std::nullopt);
+    }
+    Lease(const Lease &) = delete;
+    Lease &operator=(const Lease &) = delete;
+
+    void setReusable()
+    {
+        m_reusable = true;
+    }
+
+    std::unique_ptr<Stream> stream;
+
+private:
+    UpstreamClient &m_client;
+    UpstreamId m_upstream;
+    bool m_reusable = false;
+};
+
+UpstreamClient::UpstreamClient(const UpstreamDialect &dialect, const FaultSwitch &faults, Limits limits)
+    : m_dialect(dialect)
+    , m_faults(faults)
+    , m_limits(limits)
+{
+}
+
+awaitable<AttemptResult> UpstreamClient::call(UpstreamId upstream,
+                                              UpstreamRequest request,
+                                              unsigned maxConnections,
+                                              TimePoint deadline,
+                                              CancellationPtr cancellation)
+{
+    auto message = m_dialect.encode(request);
+    co_return co_await exchange(std::move(upstream),
+                                std::move(message),
+                                std::move(request.requestId),
+                                maxConnections,
+                                deadline,
+                                std::move(cancellation));
+}
+
+awaitable<AttemptResult> UpstreamClient::probe(UpstreamId upstream, unsigned maxConnections, TimePoint deadline)
+{
+    co_return co_await exchange(std::move(upstream), m_dialect.probe(), {}, maxConnections, deadline, nullptr);
+}
+
+awaitable<Reason> UpstreamClient::connect(Lease &lease, const UpstreamId &upstream, TimePoint deadline)
+{
+    auto executor = co_await asio::this_coro::executor;
+    if (auto socket = takeIdle(upstream)) {
+        // A stream belongs to the strand of its coroutine, so an idle socket moves to a new stream.
+        const auto protocol = socket->local_endpoint().protocol();
+        lease.stream = std::make_unique<Stream>(tcp::socket(executor, protocol, socket->release()));
+        ++m_reused;
+        co_return Reason::None;
+    }
+    lease.stream = std::make_unique<Stream>(executor);
+    lease.stream->expires_at(std::min(deadline, Clock::now() + m_limits.connectTimeout));
+    auto [ec] = co_await lease.stream->async_connect(toAsio<tcp>(upstream), Awaitable);
+    if (ec) {
+        co_return Reason::ConnectFailed;
+    }
+    error_code ignored;
+    lease.stream->socket().set_option(tcp::no_delay(true), ignored);
+    co_return Reason::None;
+}
+
+awaitable<AttemptResult> UpstreamClient::exchange(UpstreamId upstream,
+                                                  HttpMessage message,
+                                                  std::string requestId,
+                                                  unsigned maxConnections,
+                                                  TimePoint deadline,
+                                                  CancellationPtr cancellation)
+{
+    if (!m_faults.passesOutgoing(upstream)) {
+        // Simulates a path that swallows the first packet of a connection.
+        co_await sleepFor(std::min(Clock::duration(m_limits.connectTimeout), deadline - Clock::now()));
+        co_return AttemptResult{Outcome::NotRun, Reason::ConnectFailed, {}};
+    }
+    if (!reserve(upstream, maxConnections)) {
+        co_return AttemptResult{Outcome::NotRun, Reason::NoUpstream, {}};
+    }
+    Lease lease(*this, upstream);
+    if (const auto reason = co_await connect(lease, upstream, deadline); reason != Reason::None) {
+        co_return AttemptResult{Outcome::NotRun, reason, {}};
+    }
+    // A pause may have passed since the decision to send; nothing has been sent yet.
+    if (Clock::now() >= deadline) {
+        lease.setReusable();
+        co_return AttemptResult{Outcome::NotRun, Reason::DeadlinePassed, {}};
+    }
+    auto &stream = *lease.stream;
+    auto executor = co_await asio::this_coro::executor;
+    const StreamHandle handle(stream);
+    CancellationScope scope(cancellation, [executor, target = handle.target()] {
+        asio::post(executor, [target] {
+            if (*target) {
+                (*target)->cancel();
+            }
+        });
+    });
+    if (cancellation && cancellation->isCancelled()) {
+        lease.setReusable();
+        co_return AttemptResult{Outcome::NotRun, Reason::Cancelled, {}};
+    }
+    stream.expires_at(deadline);
+    auto request = toBeast(message);
+    auto [writeError, written] = co_await http::async_write(stream, request, Awaitable);
+    if (writeError) {
+        const bool timedOut = writeError == beast::error::timeout;
+        co_return AttemptResult{written == 0 ? Outcome::NotRun : Outcome::MayHaveRun,
+                                timedOut ? Reason::Timeout : Reason::ConnectionLost,
+                                {}};
+    }
+    beast::flat_buffer buf;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(m_limits.maxAnswerBytes);
+    auto [readError, n] = co_await http::async_read(stream, buf, parser, Awaitable);
+    if (cancellation && cancellation->isCancelled()) {
+        co_return AttemptResult{Outcome::MayHaveRun, Reason::Cancelled, {}};
+    }
+    if (readError) {
+        co_return AttemptResult{Outcome::MayHaveRun, readFailure(readError), {}};
+    }
+    const bool framed = parser.get().has_content_length() || parser.get().chunked();
+    const bool keepAlive = parser.get().keep_alive() && buf.size() == 0;
+    auto response = parser.release();
+    AttemptResult result{Outcome::Answered, Reason::None, m_dialect.decode(fromBeast(response), requestId)};
+    result.reason = result.answer.fault;
+    if (!framed) {
+        // Without a length a cut looks like the end of the answer.
+        result.reason = Reason::TruncatedAnswer;
+    }
+    if (result.answer.notRun) {
+        result.outcome = Outcome::NotRun;
+    } else if (result.reason == Reason::WrongAnswer || result.reason == Reason::TruncatedAnswer) {
+        result.outcome = Outcome::MayHaveRun;
+    }
+    if (keepAlive && result.outcome != Outcome::MayHaveRun) {
+        lease.setReusable();
+    }
+    co_return result;
+}
+
+std::optional<tcp::socket> UpstreamClient::takeIdle(const UpstreamId &upstream)
+{
+    std::lock_guard lock(m_mutex);
+    auto &idle = m_pools[upstream].idle;
+    while (!idle.empty()) {
+        auto socket = std::move(idle.back());
+        idle.pop_back();
+        if (isQuiet(socket)) {
+            return socket;
+        }
+    }
+    return std::nullopt;
+}
+
+bool UpstreamClient::reserve(const UpstreamId &upstream, unsigned maxConnections)
+{
+    std::lock_guard lock(m_mutex);
+    auto &pool = m_pools[upstream];
+    if (pool.open >= maxConnections) {
+        return false;
+    }
+    ++pool.open;
+    return true;
+}
+
+void UpstreamClient::release(const UpstreamId &upstream, std::optional<tcp::socket> reusable)
+{
+    std::lock_guard lock(m_mutex);
+    auto &pool = m_pools[upstream];
+    --pool.open;
+    if (reusable) {
+        pool.idle.push_back(std::move(*reusable));
+    }
+}
+
+unsigned UpstreamClient::openConnections(const UpstreamId &upstream) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto it = m_pools.find(upstream);
+    return it == m_pools.end() ? 0 : it->second.open + static_cast<unsigned>(it->second.idle.size());
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/plugins/lsparv1upstream.cpp
@@ -0,0 +1,113 @@
+#include "laburnumspar/plugin.h"
+#include "laburnumspar/upstreamdialect.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+#include <charconv>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace laburnumspar {
+
+namespace {
+
+constexpr unsigned HttpServerError = 500;
+
+const std::string *findHeader(const HttpHeaders &headers, std::string_view key)
+{
+    for (const auto &[name, value] : headers) {
+        if (boost::algorithm::iequals(name, key)) {
+            return &value;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<unsigned> parseInFlight(const HttpHeaders &headers)
+{
+    const auto *load = findHeader(headers, "X-Load");
+    if (!load) {
+        return std::nullopt;
+    }
+    unsigned inFlight = 0;
+    const auto [end, ec] = std::from_chars(load->data(), load->data() + load->size(), inFlight);
+    return ec == std::errc() ? std::optional(inFlight) : std::nullopt;
+}
+
+std::string bodyDigest(const std::string &body)
+{
+    char buf[17];
+    std::snprintf(buf, sizeof(buf), "%016llx", static_cast<unsigned long long>(XXH64(body.data(), body.size(), 0)));
+    return buf;
+}
+
+// A body which differs from its digest was damaged on the way or mixed up by the upstream.
+bool isOwnAndWhole(const HttpMessage &answer, const std::string &requestId)
+{
+    const auto *id = findHeader(answer.headers, "X-Request-Id");
+    if (!requestId.empty() && (!id || *id != requestId)) {
+        return false;
+    }
+    const auto *digest = findHeader(answer.headers, "X-Body-Digest");
+    return !digest || boost::algorithm::iequals(*digest, bodyDigest(answer.body));
+}
+
+class LsparV1Upstream : public UpstreamDialect
+{
+public:
+    HttpMessage encode(const UpstreamRequest &request) const override
+    {
+        HttpMessage message;
+        message.method = request.method;
+        message.target = request.path;
+        message.headers = {{"X-Request-Id", request.requestId},
+                           {"X-Deadline-Ms", std::to_string(request.remaining.count())},
+                           {"X-Team", request.team}};
+        if (!request.contentType.empty()) {
+            message.headers.emplace_back("Content-Type", request.contentType);
+        }
+        message.body = request.body;
+        return message;
+    }
+
+    HttpMessage probe() const override
+    {
+        HttpMessage message;
+        message.method = "GET";
+        message.target = "/health";
+        return message;
+    }
+
+    UpstreamAnswer decode(const HttpMessage &answer, const std::string &requestId) const override
+    {
+        UpstreamAnswer result;
+        result.status = answer.status;
+        result.inFlight = parseInFlight(answer.headers);
+        if (const auto *phase = findHeader(answer.headers, "X-Phase")) {
+            result.phase = fromName<UpstreamPhase>(*phase);
+        }
+        if (const auto *type = findHeader(answer.headers, "Content-Type")) {
+            result.contentType = *type;
+        }
+        if (!isOwnAndWhole(answer, requestId)) {
+            result.fault = Reason::WrongAnswer;
+            return result;
+        }
+        result.body = answer.body;
+        if (const auto *notRun = findHeader(answer.headers, "X-Not-Run")) {
+            result.notRun = true;
+            result.fault = *notRun == "draining" ? Reason::Leaving
+                : *notRun == "deadline"          ? Reason::DeadlineTooShort
+                                                 : Reason::Shed;
+        } else if (answer.status >= HttpServerError) {
+            result.fault = Reason::UpstreamError;
+        }
+        return result;
+    }
+};
+
+const Registration<UpstreamDialect, LsparV1Upstream> registration("lspar-v1");
+
+} // namespace
+
+} // namespace laburnumspar
--- /dev/null
+++ b/src/routing.cpp
@@ -0,0 +1,131 @@
+#include "laburnumspar/routing.h"
+
+#include <algorithm>
+
+namespace laburnumspar {
+
+namespace {
+
+// A dispatcher in another zone costs about one round trip between zones.
+constexpr double OtherZoneUs = 1000;
+// The own zone is preferred only while it has room, else it would fill up while others idle.
+constexpr double OwnZoneMinFreeShare = 0.1;
+// Assumed time to work off one more queued request of a dispatcher whose queue is unknown.
+constexpr double AssumedWorkUs = 5000;
+
+} // namespace
+
+void DispatcherLoads::update(const InstanceId &dispatcher, const ServiceLoad &load, TimePoint at)
+{
+    auto &entry = m_entries[{dispatcher, load.service}];
+    if (at < entry.at) {
+        return;
+    }
+    entry.load = load;
+    entry.at = at;
+    entry.outstandingAtUpdate = entry.outstanding;
+}
+
+void DispatcherLoads::noteSent(const InstanceId &dispatcher, const std::string &service)
+{
+    ++m_entries[{dispatcher, service}].outstanding;
+}
+
+void DispatcherLoads::noteDone(const InstanceId &dispatcher, const std::string &service)
+{
+    auto &entry = m_entries[{dispatcher, service}];
+    entry.outstanding -= std::min(entry.outstanding, 1U);
+    entry.outstandingAtUpdate -= std::min(entry.outstandingAtUpdate, 1U);
+}
+
+void DispatcherLoads::avoidUntil(const InstanceId &dispatcher, TimePoint until)
+{
+    m_avoid[dispatcher] = until;
+}
+
+bool DispatcherLoads::hasRoom(const InstanceId &dispatcher, const std::string &service) const
+{
+    const auto it = m_entries.find({dispatcher, service});
+    return it != m_entries.end() && freeSlots(it->second) >= 1;
+}
+
+double DispatcherLoads::freeSlots(const Entry &entry) const
+{
+    const double sentSince = static_cast<double>(entry.outstanding) - entry.outstandingAtUpdate;
+    return std::max(0.0, entry.load.freeSlots - std::max(0.0, sentSince));
+}
+
+double DispatcherLoads::expectedWaitUs(const Entry &entry, WorkClass workClass) const
+{
+    const double wait = workClass == WorkClass::Long ? entry.load.longWaitUs : entry.load.shortWaitUs;
+    const double sentSince = std::max(0.0, static_cast<double>(entry.outstanding) - entry.outstandingAtUpdate);
+    const double perRequest = entry.load.queued > 0 ? wait / entry.load.queued : AssumedWorkUs;
+    return wait + sentSince * perRequest;
+}
+
+std::optional<InstanceId> DispatcherLoads::choose(const std::string &service,
+                                                  WorkClass workClass,
+                                                  const std::vector<DispatcherCandidate> &candidates,
+                                                  const std::vector<InstanceId> &exclude,
+                                                  const std::string &ownZone,
+                                                  TimePoint now,
+                                                  std::mt19937_64 &random) const
+{
+    struct Option {
+        const DispatcherCandidate *candidate;
+        Entry entry;
+        bool avoided;
+        double free;
+    };
+    std::vector<Option> options;
+    for (const auto &candidate : candidates) {
+        if (std::find(exclude.begin(), exclude.end(), candidate.id) != exclude.end()) {
+            continue;
+        }
+        const auto entry = m_entries.find({candidate.id, service});
+        const auto avoid = m_avoid.find(candidate.id);
+        Option option{&candidate, entry == m_entries.end() ? Entry{} : entry->second, false, 0};
+        option.avoided = avoid != m_avoid.end() && now < avoid->second;
+        option.free = option.avoided ? 0 : freeSlots(option.entry);
+        options.push_back(option);
+    }
+    if (options.empty()) {
+        return std::nullopt;
+    }
+    const bool othersWork = std::any_of(options.begin(), options.end(), [](const Option &o) { return !o.avoided; });
+    if (othersWork) {
+        std::erase_if(options, [](const Option &o) { return o.avoided; });
+    }
+    for (const auto &option : options) {
+        const bool roomy = option.free >= std::max(1.0, OwnZoneMinFreeShare * option.entry.load.slots);
+        if (option.candidate->zone == ownZone && roomy) {
+            return option.candidate->id;
+        }
+    }
+    double total = 0;
+    for (const auto &option : options) {
+        total += option.free;
+    }
+    if (total >= 1) {
+        // Weighted by free slots: all entry instances see about the same loads and must not choose alike.
+        double point = std::uniform_real_distribution<>(0, total)(random);
+        for (const auto &option : options) {
+            point -= option.free;
+            if (point <= 0) {
+                return option.candidate->id;
+            }
+        }
+    }
+    const auto cost = [&](const Option &option) {
+        const double distance = option.candidate->zone == ownZone ? 0 : OtherZoneUs;
+        return expectedWaitUs(option.entry, workClass) + distance;
+    };
+    // The better of two random ones, since the waits are some milliseconds old.
+    std::shuffle(options.begin(), options.end(), random);
+    options.resize(std::min<std::size_t>(options.size(), 2));
+    const auto best = std::min_element(
+        options.begin(), options.end(), [&](const Option &a, const Option &b) { return cost(a) < cost(b); });
+    return best->candidate->id;
+}
+
+} // namespace laburnumspar
--- /dev/null
+++ b/tests/test_routing.cpp
@@ -0,0 +1,102 @@
+#include "laburnumspar/routing.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspar;
+
+namespace {
+
+const InstanceId palermo{"127.0.0.1", 1};
+const InstanceId catania{"127.0.0.1", 2};
+const InstanceId messina{"127.0.0.1", 3};
+const std::vector<DispatcherCandidate> group{
+    {palermo, "palermo", false}, {catania, "catania", false}, {messina, "messina", false}};
+
+ServiceLoad loadOf(unsigned freeSlots, unsigned queued = 0, unsigned waitUs = 0)
+{
+    return {"orders", 40, freeSlots, queued, waitUs, waitUs};
+}
+
+struct Fixture {
+    DispatcherLoads loads;
+    std::mt19937_64 random{1};
+    TimePoint now{std::chrono::seconds(1000)};
+
+    std::optional<InstanceId> choose(const std::vector<InstanceId> &exclude = {}, const std::string &zone = "palermo")
+    {
+        return loads.choose("orders", WorkClass::Short, group, exclude, zone, now, random);
+    }
+    std::map<InstanceId, unsigned> chooseMany(unsigned times)
+    {
+        std::map<InstanceId, unsigned> counts;
+        for (unsigned n = 0; n < times; ++n) {
+            ++counts[*choose()];
+        }
+        return counts;
+    }
+};
+
+} // namespace
+
+// Guards against paying a round trip between zones while the own zone has room.
+BOOST_FIXTURE_TEST_CASE(ownZoneIsPreferredWhileItHasRoom, Fixture)
+{
+    loads.update(palermo, loadOf(8), now);
+    loads.update(catania, loadOf(40), now);
+    BOOST_TEST(chooseMany(50)[palermo] == 50U);
+    loads.update(palermo, loadOf(3), now);
+    BOOST_TEST(chooseMany(200)[catania] > 150U);
+}
+
+// Guards against many entry instances choosing the same emptiest dispatcher at once.
+BOOST_FIXTURE_TEST_CASE(choiceIsSpreadByFreeSlots, Fixture)
+{
+    loads.update(palermo, loadOf(0), now);
+    loads.update(catania, loadOf(30), now);
+    loads.update(messina, loadOf(10), now);
+    const auto counts = chooseMany(400);
+    BOOST_TEST(counts.at(catania) > 240U);
+    BOOST_TEST(counts.at(messina) > 60U);
+}
+
+// Guards against counting on free slots that requests sent since the last report have taken.
+BOOST_FIXTURE_TEST_CASE(requestsSentSinceTheReportTakeSlots, Fixture)
+{
+    loads.update(palermo, loadOf(1), now);
+    BOOST_TEST(loads.hasRoom(palermo, "orders"));
+    loads.noteSent(palermo, "orders");
+    BOOST_TEST(!loads.hasRoom(palermo, "orders"));
+    loads.noteDone(palermo, "orders");
+    BOOST_TEST(loads.hasRoom(palermo, "orders"));
+}
+
+// Guards against an old report that arrives late and overwrites a newer one.
+BOOST_FIXTURE_TEST_CASE(olderReportIsIgnored, Fixture)
+{
+    loads.update(palermo, loadOf(0), now);
+    loads.update(palermo, loadOf(20), now - std::chrono::milliseconds(1));
+    BOOST_TEST(!loads.hasRoom(palermo, "orders"));
+}
+
+// Guards against sending work to a dispatcher whose link has just failed, and against sending none when all have.
+BOOST_FIXTURE_TEST_CASE(failedLinkIsAvoidedUnlessAllFailed, Fixture)
+{
+    loads.update(palermo, loadOf(20), now);
+    loads.update(catania, loadOf(5), now);
+    loads.avoidUntil(palermo, now + std::chrono::seconds(1));
+    BOOST_TEST(chooseMany(50).count(palermo) == 0U);
+    loads.avoidUntil(catania, now + std::chrono::seconds(1));
+    loads.avoidUntil(messina, now + std::chrono::seconds(1));
+    BOOST_TEST(choose().has_value());
+    now += std::chrono::seconds(2);
+    BOOST_TEST(chooseMany(50)[palermo] == 50U);
+}
+
+// Guards against the shortest queue being missed at a load spike, when nothing is free.
+BOOST_FIXTURE_TEST_CASE(shortestWaitIsChosenWhenNothingIsFree, Fixture)
+{
+    loads.update(palermo, loadOf(0, 100, 900000), now);
+    loads.update(catania, loadOf(0, 10, 90000), now);
+    BOOST_CHECK(choose({messina}) == catania);
+    BOOST_CHECK(choose({palermo, catania, messina}) == std::nullopt);
+}
