router: avoid a conditional expression with co_await

Cause: forwarding to the owner of an identifier ended the receiving instance with a double free; the backtrace showed the reply being destroyed twice. Ruled out: the frame codec and the reply queue (forwarding to a dispatcher, which uses both, works). g++ 12 destroys the temporaries of a conditional expression twice when one of its branches awaits. Change: an if statement, with the reason beside it. Conclusion: conditional expressions must not contain co_await.

--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -113,8 +113,12 @@
     if (hop == HopKind::ToOwner) {
         const auto id = parseRequestId(work.requestId);
         const bool own = id && id->owner == m_context.self;
-        result = own ? co_await runClaimed(*id, std::move(work), std::move(cancellation))
-                     : failure(Outcome::MayHaveRun, Reason::IdentifierInvalid, "not the owner of the identifier");
+        // Not a conditional expression: g++ 12 destroys its temporaries twice when one branch awaits.
+        if (own) {
+            result = co_await runClaimed(*id, std::move(work), std::move(cancellation));
+        } else {
+            result = failure(Outcome::MayHaveRun, Reason::IdentifierInvalid, "not the owner of the identifier");
+        }
     } else {
         result = co_await dispatchAt(m_context.self, work, std::move(cancellation));
     }
--- a/src/net/serviceruntime.cpp
+++ b/src/net/serviceruntime.cpp
@@ -92,7 +92,10 @@
         if (decision.kind == Decision::Kind::Refuse) {
             m_refused.add();
             // What an earlier attempt may have done stays true.
-            co_return earlier ? *earlier : WorkResult{Outcome::NotRun, decision.reason, 0, {}, {}, {}, {}};
+            if (earlier) {
+                co_return std::move(*earlier);
+            }
+            co_return WorkResult{Outcome::NotRun, decision.reason, 0, {}, {}, {}, {}};
         }
         auto result = co_await attempt(work, ticket, decision.upstream, cancellation);
         if (earlier && earlier->outcome == Outcome::MayHaveRun && result.outcome == Outcome::NotRun) {
