--- a/src/detail/scenario.cpp
+++ b/src/detail/scenario.cpp
@@ -181,10 +181,10 @@
 
 Scenario readScenario(const toml::table &root, const std::string &file)
 {
-    constexpr std::array<std::string_view, 7> sections{
+    constexpr std::array<std::string_view, 7> Sections{
         "name", "upstreams", "callers", "mix", "phase", "fault", "bounds"};
     for (const auto &[key, node] : root) {
-        if (std::count(sections.begin(), sections.end(), key.str()) == 0) {
+        if (std::count(Sections.begin(), Sections.end(), key.str()) == 0) {
             throw SettingsError(file,
                                 std::string(key.str()),
                                 node.source().begin.line,
--- /dev/null
+++ b/tools/lspar-load/exchange.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "connections.h"
+
+#include "detail/outcomecheck.h"
+
+#include <boost/beast/http.hpp>
+
+#include <vector>
+
+namespace laburnumspar::tools {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+/// What became of a request that was sent to the first address that accepts a connection.
+struct Exchange {
+    bool sent = false; ///< false: no address accepted a connection
+    bool answered = false; ///< the head of an answer arrived
+    detail::CallerAnswer answer;
+};
+
+/// Sends the request once; other addresses are tried only while no connection could be opened.
+boost::asio::awaitable<Exchange>
+exchange(Connections &connections, std::vector<Endpoint> addresses, HttpRequest request, TimePoint limit);
+
+} // namespace laburnumspar::tools
--- /dev/null
+++ b/tools/lspar-load/loadrun.cpp
@@ -0,0 +1,180 @@
+#include "loadrun.h"
+
+#include "worker.h"
+
+#include "laburnumspar/errors.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace laburnumspar::tools {
+
+namespace {
+
+using namespace laburnumspar::detail;
+
+/// Time before the first arrival, in which threads start.
+constexpr Milliseconds StartDelay{200};
+/// Time for work that still runs, before the executions are asked for.
+constexpr Milliseconds SettleTime{1500};
+/// Keys in one request to the control endpoint.
+constexpr std::size_t KeysPerLookup = 20000;
+
+struct InjectedFault {
+    ScenarioFault fault;
+    UpstreamControl::FaultPosted posted;
+};
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream in(path);
+    if (!in) {
+        throw UsageError("cannot read " + path);
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+LoadPlan makePlan(const LoadOptions &options, const UpstreamControl &control)
+{
+    LoadPlan plan;
+    plan.scenario = parseScenario(readFile(options.scenario), options.scenario);
+    plan.seed = options.seed;
+    plan.workers = options.threads;
+    plan.entries = options.entries;
+    if (options.direct) {
+        plan.direct = control.addresses();
+    }
+    // Differs between runs against the same upstreams, which keep the counts of earlier runs.
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    std::ostringstream tag;
+    tag << std::hex << std::chrono::duration_cast<Microseconds>(now).count();
+    plan.tag = tag.str();
+    plan.start = Clock::now() + StartDelay;
+    return plan;
+}
+
+/// Posts each fault of the scenario at its time.
+std::vector<InjectedFault> injectFaults(const LoadPlan &plan, const UpstreamControl &control)
+{
+    std::vector<InjectedFault> injected;
+    auto faults = plan.scenario.faults;
+    std::stable_sort(faults.begin(), faults.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
+    for (const auto &fault : faults) {
+        std::this_thread::sleep_until(plan.start + fault.at);
+        injected.push_back({fault, control.postFault(fault)});
+    }
+    return injected;
+}
+
+std::vector<RequestRecord> collect(const std::vector<std::unique_ptr<Worker>> &workers)
+{
+    std::vector<RequestRecord> records;
+    for (const auto &worker : workers) {
+        records.insert(records.end(), worker->records().begin(), worker->records().end());
+    }
+    return records;
+}
+
+std::vector<DetectionResult>
+detect(const std::vector<InjectedFault> &injected, const WorkSeries &series, const Scenario &scenario)
+{
+    std::vector<DetectionResult> results;
+    for (const auto &[fault, posted] : injected) {
+        if (!fault.detect || fault.kind == "none") {
+            continue;
+        }
+        auto end = posted.at + scenario.duration() - fault.at;
+        if (fault.duration.count() > 0) {
+            end = std::min(end, posted.at + fault.duration);
+        }
+        for (const auto upstream : posted.upstreams) {
+            results.push_back({fault.kind, upstream, detectionTime(series, upstream, posted.at, end)});
+        }
+    }
+    return results;
+}
+
+std::map<std::string, unsigned>
+executionsOf(const LoadPlan &plan, const UpstreamControl &control, const std::vector<RequestRecord> &records)
+{
+    std::map<std::string, unsigned> all;
+    for (std::size_t begin = 0; begin < records.size(); begin += KeysPerLookup) {
+        std::vector<std::string> keys;
+        for (auto n = begin; n < std::min(begin + KeysPerLookup, records.size()); ++n) {
+            keys.push_back(keyOf(plan, records[n].sequence));
+        }
+        all.merge(control.executions(keys));
+    }
+    return all;
+}
+
+Violations check(const LoadPlan &plan, const UpstreamControl &control, const std::vector<RequestRecord> &records)
+{
+    const auto executions = executionsOf(plan, control, records);
+    return checkOutcomes(records, [&](const RequestRecord &record) {
+        const auto it = executions.find(keyOf(plan, record.sequence));
+        return it == executions.end() ? 0U : it->second;
+    });
+}
+
+/// Counts of the run itself: sums without those from before it; maxima as they are; no momentary values.
+UpstreamTotals difference(const UpstreamTotals &before, UpstreamTotals after)
+{
+    for (const auto *momentary : {"running", "connections", "received_last_second"}) {
+        after.erase(momentary);
+    }
+    for (auto &[name, value] : after) {
+        const auto it = before.find(name);
+        if (it != before.end() && !name.starts_with("max")) {
+            value -= it->second;
+        }
+    }
+    return after;
+}
+
+void evaluate(LoadReport &report, const LoadPlan &plan, const std::vector<RequestRecord> &records)
+{
+    report.phases = phaseResults(plan.scenario, records);
+    report.seconds = secondResults(plan.scenario, records);
+    report.missedBounds = missedBounds(plan.scenario.bounds, report.phases, report.detections);
+    for (const auto sequence : report.violations.examples) {
+        report.examples.push_back(keyOf(plan, sequence));
+    }
+}
+
+} // namespace
+
+LoadReport runLoad(const LoadOptions &options)
+{
+    const UpstreamControl control(options.control);
+    const auto before = control.totals();
+    const auto plan = makePlan(options, control);
+    std::vector<std::unique_ptr<Worker>> workers;
+    for (unsigned n = 0; n < plan.workers; ++n) {
+        workers.push_back(std::make_unique<Worker>(plan, n));
+    }
+    std::vector<std::jthread> threads;
+    for (auto &worker : workers) {
+        threads.emplace_back([&worker] { worker->run(); });
+    }
+    const auto injected = injectFaults(plan, control);
+    threads.clear();
+    const auto records = collect(workers);
+    std::this_thread::sleep_for(SettleTime);
+    LoadReport report{plan.scenario.name, plan.seed, options.direct, {}, {}, {}, {}, {}, {}, {}};
+    report.detections = detect(injected, control.workSeries(), plan.scenario);
+    report.violations = check(plan, control, records);
+    report.upstreams = difference(before, control.totals());
+    if (!injected.empty()) {
+        control.clearFaults();
+    }
+    evaluate(report, plan, records);
+    return report;
+}
+
+} // namespace laburnumspar::tools
--- /dev/null
+++ b/tools/lspar-load/report.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "upstreamcontrol.h"
+
+#include "detail/loadstats.h"
+#include "detail/outcomecheck.h"
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace laburnumspar::tools {
+
+/// Everything that a load run found.
+struct LoadReport {
+    std::string scenario;
+    std::uint64_t seed = 0;
+    bool direct = false;
+    std::vector<detail::PhaseResult> phases;
+    std::vector<detail::SecondResult> seconds;
+    std::vector<detail::DetectionResult> detections;
+    detail::Violations violations;
+    std::vector<std::string> examples; ///< keys of requests with a violation
+    UpstreamTotals upstreams; ///< counted during the run
+    std::vector<std::string> missedBounds;
+
+    /// True if all promises and bounds were kept.
+    bool passed() const
+    {
+        return violations.sum() == 0 && missedBounds.empty();
+    }
+};
+
+/// Text tables; seconds are listed around the starts of phases.
+void printReport(std::ostream &out, const LoadReport &report);
+
+std::string toJson(const LoadReport &report);
+
+} // namespace laburnumspar::tools
--- /dev/null
+++ b/tools/lspar-load/worker.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "addressbook.h"
+#include "connections.h"
+#include "exchange.h"
+
+#include "detail/outcomecheck.h"
+#include "detail/scenario.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace laburnumspar::tools {
+
+/// What all workers of a load run share; constant during the run.
+struct LoadPlan {
+    detail::Scenario scenario;
+    std::uint64_t seed = 1;
+    unsigned workers = 1;
+    std::vector<Endpoint> entries;
+    std::vector<Endpoint> direct; ///< upstreams, for a baseline without the fleet; empty: through the fleet
+    std::string tag; ///< prefix of the request keys of this run
+    TimePoint start;
+};
+
+/// Key by which the upstreams count the executions of a request.
+std::string keyOf(const LoadPlan &plan, std::uint64_t sequence);
+
+/// One thread's part of the callers and of the arrivals.
+class Worker
+{
+public:
+    Worker(const LoadPlan &plan, unsigned index);
+
+    /// Sends until the scenario has ended and every request has an outcome.
+    void run();
+    const std::vector<detail::RequestRecord> &records() const
+    {
+        return m_records;
+    }
+
+private:
+    struct Caller {
+        std::unique_ptr<Connections> connections;
+        std::string zone;
+        std::map<std::string, std::unique_ptr<AddressBook>> books; ///< by service
+    };
+    struct Draft {
+        detail::RequestRecord record;
+        const detail::ScenarioMix *mix = nullptr;
+        Caller *caller = nullptr;
+        double runMs = 0;
+    };
+
+    void makeCallers();
+    Draft draw(std::chrono::nanoseconds scheduled);
+    boost::asio::awaitable<void> generate();
+    boost::asio::awaitable<void> send(Draft draft);
+    boost::asio::awaitable<Exchange> sendDirect(HttpRequest request, Draft &draft, TimePoint limit);
+    boost::asio::awaitable<Exchange>
+    sendToFleet(HttpRequest request, Draft &draft, detail::ExpectedAnswer &expected, TimePoint limit);
+
+    const LoadPlan &m_plan;
+    unsigned m_index;
+    boost::asio::io_context m_context;
+    std::mt19937_64 m_random;
+    std::discrete_distribution<std::size_t> m_mixDraw;
+    std::vector<Caller> m_callers;
+    std::vector<detail::RequestRecord> m_records;
+    std::uint64_t m_sequence;
+};
+
+} // namespace laburnumspar::tools
