--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Builds, runs a fleet of 6 instances in 3 zones on loopback, sends real requests, turns one upstream gray, and prints
+# what callers got. Takes less than 60 s after the build. Exit 0: all promises to callers and all bounds were kept.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/setup.sh
+scripts/build.sh
+# shellcheck source=scripts/fleet.sh
+source scripts/fleet.sh
+trap fleet_cleanup EXIT
+
+echo "starting $FLEET_INSTANCES instances in $FLEET_ZONES and $FLEET_UPSTREAMS upstreams of $FLEET_SERVICE"
+fleet_start
+echo "which addresses a caller is told to use:"
+"$FLEET_BIN/laburnumspar" addresses --at "$(fleet_callers 0)" --service "$FLEET_SERVICE"
+echo "5 s of load, then 8 s in which upstream 2 is 20 times slower while its health checks succeed:"
+status=0
+timeout 40 "$FLEET_BIN/lspar-load" --scenario bench/scenarios/demo.toml --seed 1 --threads 1 \
+    --entries "$(fleet_entries)" --control "$FLEET_CONTROL" || status=$?
+fleet_stop_all || {
+    echo "an instance did not stop cleanly" >&2
+    status=1
+}
+exit "$status"
--- a/tools/lspar-load/addressbook.cpp
+++ b/tools/lspar-load/addressbook.cpp
@@ -56,8 +56,13 @@
         std::rotate(lease.addresses.begin(), lease.addresses.begin() + first, lease.addresses.end());
     }
     if (wantIdentifier && !m_identifiers.empty()) {
-        lease.identifier = std::move(m_identifiers.front());
+        auto identifier = std::move(m_identifiers.front());
         m_identifiers.pop_front();
+        lease.identifier = std::move(identifier.text);
+        if (identifier.owner) {
+            std::erase(lease.addresses, *identifier.owner);
+            lease.addresses.insert(lease.addresses.begin(), *identifier.owner);
+        }
     }
     co_return lease;
 }
@@ -68,8 +73,9 @@
     std::shuffle(m_source.entries.begin(), m_source.entries.end(), m_random);
     const auto entries = m_source.entries;
     for (std::size_t n = 0; n < std::min(EntriesAsked, entries.size()); ++n) {
-        HttpRequest request(
-            http::verb::get, "/v1/addresses?service=" + m_source.service + "&zone=" + m_source.zone, 11);
+        const auto target = "/v1/addresses?service=" + m_source.service + "&zone=" + m_source.zone
+            + "&ids=" + std::to_string(m_source.identifiers);
+        HttpRequest request(http::verb::get, target, 11);
         const std::vector<Endpoint> asked{entries[n]};
         const auto until = std::min(limit, Clock::now() + AskLimit);
         const auto result = co_await exchange(connections, asked, std::move(request), until);
@@ -81,6 +87,27 @@
     m_refreshed.cancel();
 }
 
+void AddressBook::addIdentifier(Identifier identifier)
+{
+    m_identifiers.push_back(std::move(identifier));
+}
+
+void AddressBook::takeIdentifiers(const json::object &answer)
+{
+    m_identifiers.clear();
+    const auto *identifiers = answer.if_contains("request_ids");
+    const auto *owner = answer.if_contains("request_ids_owner");
+    if (!identifiers || !identifiers->is_array()) {
+        return;
+    }
+    const auto address = owner && owner->is_string() ? parseEndpoint(std::string(owner->get_string())) : std::nullopt;
+    for (const auto &each : identifiers->get_array()) {
+        if (each.is_string()) {
+            addIdentifier({std::string(each.get_string()), address});
+        }
+    }
+}
+
 bool AddressBook::take(const std::string &body)
 {
     boost::system::error_code ec;
@@ -103,12 +130,7 @@
     }
     m_addresses = std::move(addresses);
     m_validUntil = Clock::now() + Milliseconds(lifetime->to_number<std::int64_t>());
-    if (const auto *identifiers = object->if_contains("identifiers"); identifiers && identifiers->is_array()) {
-        m_identifiers.clear();
-        for (const auto &each : identifiers->get_array()) {
-            m_identifiers.emplace_back(each.is_string() ? each.get_string().c_str() : "");
-        }
-    }
+    takeIdentifiers(*object);
     return true;
 }
 
--- a/tools/lspar-load/exchange.cpp
+++ b/tools/lspar-load/exchange.cpp
@@ -78,6 +78,8 @@
     result.answered = parser.is_header_done();
     if (result.answered) {
         result.answer = readAnswer(parser.get(), !readError);
+        result.nextIdentifier = headerOf(parser.get(), "Lspar-Next-Request-Id");
+        result.instance = headerOf(parser.get(), "Lspar-Instance");
     }
     if (!readError && parser.get().keep_alive() && buf.size() == 0) {
         connections.keep(address, std::move(stream));
--- a/tools/lspar-load/exchange.h
+++ b/tools/lspar-load/exchange.h
@@ -17,6 +17,8 @@
     bool sent = false; ///< false: no address accepted a connection
     bool answered = false; ///< the head of an answer arrived
     detail::CallerAnswer answer;
+    std::string nextIdentifier; ///< Lspar-Next-Request-Id
+    std::string instance; ///< Lspar-Instance, the owner of the next identifier
 };
 
 /// Sends the request once; other addresses are tried only while no connection could be opened.
--- a/tools/lspar-load/worker.cpp
+++ b/tools/lspar-load/worker.cpp
@@ -39,6 +39,17 @@
     return weights;
 }
 
+/// Request identifiers that a caller asks for at once.
+constexpr unsigned IdentifierBlock = 16;
+
+unsigned identifiersFor(const Scenario &scenario, const std::string &service)
+{
+    const bool needed = std::any_of(scenario.mix.begin(), scenario.mix.end(), [&](const auto &mix) {
+        return mix.service == service && mix.nonIdempotentShare > 0;
+    });
+    return needed ? IdentifierBlock : 0;
+}
+
 /// Long work has a path of its own, as routes have.
 std::string targetOf(const LoadPlan &plan, const ScenarioMix &mix, const RequestRecord &record, double runMs)
 {
@@ -80,7 +91,11 @@
         caller.connections = std::make_unique<Connections>(m_context.get_executor());
         caller.zone = scenario.pool.zones[n % scenario.pool.zones.size()];
         for (const auto &mix : scenario.mix) {
-            const AddressBook::Source source{m_plan.entries, mix.service, caller.zone, scenario.callers.addresses};
+            const AddressBook::Source source{m_plan.entries,
+                                             mix.service,
+                                             caller.zone,
+                                             scenario.callers.addresses,
+                                             identifiersFor(scenario, mix.service)};
             caller.books[mix.service] = std::make_unique<AddressBook>(m_context.get_executor(), source, m_random());
         }
         m_callers.push_back(std::move(caller));
@@ -194,6 +209,9 @@
         expected.requestId = lease.identifier;
     }
     auto result = co_await exchange(*caller.connections, std::move(lease.addresses), std::move(request), limit);
+    if (!result.nextIdentifier.empty()) {
+        book.addIdentifier({result.nextIdentifier, parseEndpoint(result.instance)});
+    }
     co_return result;
 }
 
