scenario: time no detection for refused connections

Cause: a refusing upstream receives no work at once, so its detection time was reported as 21 ms without anybody having avoided it. Ruled out: counting refused connection attempts, which no process sees.

--- a/src/detail/scenario.cpp
+++ b/src/detail/scenario.cpp
@@ -153,6 +153,8 @@
     table.read("zone", fault.zone);
     table.read("factor", fault.factor, Positive);
     table.read("for_ms", fault.duration, NotNegative);
+    // A refused connection does not count as work received, so there is nothing to measure; a cold start is no fault.
+    fault.detect = fault.kind != "none" && fault.kind != "cold" && fault.kind != "refuse";
     table.read("detect", fault.detect);
     table.finish();
     if (std::count(FaultKinds.begin(), FaultKinds.end(), fault.kind) == 0) {
--- a/src/detail/scenario.h
+++ b/src/detail/scenario.h
@@ -54,7 +54,7 @@
     std::string zone;
     double factor = 10;
     Milliseconds duration{0}; ///< 0: until the end
-    bool detect = true; ///< measure how soon work avoids the upstream
+    bool detect = true; ///< measure how soon work avoids the upstream; default: not for none, cold and refuse
 };
 
 /// Limits whose violation fails the run; over the measured phases.
--- a/tests/test_scenario.cpp
+++ b/tests/test_scenario.cpp
@@ -70,6 +70,13 @@
     BOOST_TEST(*scenario.bounds.detectionMsMax == 3000);
 }
 
+// Guards against a detection time that is always good: an upstream that refuses connections receives no work at all.
+BOOST_AUTO_TEST_CASE(refusalIsNotTimed)
+{
+    BOOST_TEST(parseScenario(Valid, "s.toml").faults.at(0).detect);
+    BOOST_TEST(!parseScenario(with("\"slow\"", "\"refuse\""), "s.toml").faults.at(0).detect);
+}
+
 // Guards against arrivals that jump at a ramp or go on after the end.
 BOOST_AUTO_TEST_CASE(rateFollowsThePhases)
 {
--- a/tools/lspar-load/loadrun.cpp
+++ b/tools/lspar-load/loadrun.cpp
@@ -85,7 +85,7 @@
 {
     std::vector<DetectionResult> results;
     for (const auto &[fault, posted] : injected) {
-        if (!fault.detect || fault.kind == "none") {
+        if (!fault.detect) {
             continue;
         }
         auto end = posted.at + scenario.duration() - fault.at;
