settingsstore: mark values in effect when they are offered

Cause: digest() looked up the owner of each service name, and digestHash() was not the hash that heartbeats carry. Ruled out: keeping a second map of the values in effect, because a flag per entry is enough and cannot disagree with the entry. Change: offers of a service mark the team that has it; digestHash() is settingsHash() of the digest.

--- a/include/laburnumspar/settingsstore.h
+++ b/include/laburnumspar/settingsstore.h
@@ -63,7 +63,7 @@
 
     /// Accepted versions, by path.
     std::vector<SettingsVersion> digest() const;
-    /// Hash of the digest: equal for stores that have the same versions in effect.
+    /// settingsHash() of the digest; kept until the next change.
     std::uint64_t digestHash() const;
     /// Entries of the digest of a peer that are newer than what this store knows.
     std::vector<SettingsVersion> missing(const std::vector<SettingsVersion> &digest) const;
@@ -94,11 +94,14 @@
         Parsed parsed;
         std::uint64_t invalidVersion = 0; ///< highest invalid version
         std::string invalidReason;
+        bool effective = false; ///< has a valid version, and no team with a better claim to the service
     };
 
     static Parsed parse(const std::string &path, const std::string &text);
+    /// Marks which of the teams that define a service has it.
+    void claim(const ServicePath &owner);
     OfferResult reject(Entry &entry, std::uint64_t version, const std::string &reason);
-    /// Why a valid value is not in effect; empty if it is.
+    /// Why the valid value at a service path is not in effect.
     std::string conflict(const std::string &path) const;
     SettingsRecord record(const std::string &path, const Entry &entry) const;
     const Entry *inEffect(const std::string &path) const;
--- a/src/settingsstore.cpp
+++ b/src/settingsstore.cpp
@@ -2,8 +2,7 @@
 
 #include "laburnumspar/errors.h"
 #include "laburnumspar/instancelist.h"
-
-#include <xxhash.h>
+#include "laburnumspar/membership.h"
 
 namespace laburnumspar {
 
@@ -31,6 +30,9 @@
         return {Kind::Older, {}};
     }
     const bool sameText = entry.version > 0 && text == entry.text;
+    if (version == entry.version && sameText && entry.effective) {
+        return {Kind::Same, {}};
+    }
     if (version == entry.version && !sameText) {
         return {Kind::Rejected, path + ": version " + std::to_string(version) + " is in use with another text"};
     }
@@ -44,11 +46,12 @@
     }
     entry.version = version;
     m_digestHash.reset();
+    entry.effective = true;
     if (const auto owner = parseServicePath(path)) {
-        m_claims[owner->service].insert(owner->team);
+        claim(*owner);
     }
-    if (auto reason = conflict(path); !reason.empty()) {
-        return {Kind::Rejected, std::move(reason)};
+    if (!entry.effective) {
+        return {Kind::Rejected, conflict(path)};
     }
     return {sameText ? Kind::Same : Kind::Accepted, {}};
 }
@@ -57,22 +60,18 @@
 {
     std::vector<SettingsVersion> digest;
     for (const auto &[path, entry] : m_entries) {
-        if (inEffect(path)) {
+        if (entry.effective) {
             digest.push_back({path, entry.version});
         }
     }
     return digest;
 }
 
-// Kept until the next change: every heartbeat carries the hash, and a digest has thousands of paths at the target size.
+// A digest has thousands of paths at the target size, and every heartbeat is compared with its hash.
 std::uint64_t SettingsStore::digestHash() const
 {
     if (!m_digestHash) {
-        std::string text;
-        for (const auto &entry : digest()) {
-            text += entry.path + '@' + std::to_string(entry.version) + '\n';
-        }
-        m_digestHash = XXH3_64bits(text.data(), text.size());
+        m_digestHash = settingsHash(digest());
     }
     return *m_digestHash;
 }
@@ -174,6 +173,15 @@
     return shared(parseServiceSettings(text, path));
 }
 
+void SettingsStore::claim(const ServicePath &owner)
+{
+    auto &teams = m_claims[owner.service];
+    teams.insert(owner.team);
+    for (const auto &team : teams) {
+        m_entries.at(toString(ServicePath{team, owner.service})).effective = team == *teams.begin();
+    }
+}
+
 OfferResult SettingsStore::reject(Entry &entry, std::uint64_t version, const std::string &reason)
 {
     if (version > entry.invalidVersion) {
@@ -186,28 +194,24 @@
 std::string SettingsStore::conflict(const std::string &path) const
 {
     const auto own = parseServicePath(path);
-    const auto claim = own ? m_claims.find(own->service) : m_claims.end();
-    if (claim == m_claims.end() || *claim->second.begin() == own->team) {
-        return {};
-    }
-    return path + ": service " + own->service + " belongs to team " + *claim->second.begin()
+    return path + ": service " + own->service + " belongs to team " + *m_claims.at(own->service).begin()
         + ", which comes before team " + own->team;
 }
 
 SettingsRecord SettingsStore::record(const std::string &path, const Entry &entry) const
 {
-    auto reason = entry.version > 0 ? conflict(path) : std::string();
-    const bool effective = entry.version > 0 && reason.empty();
+    const auto accepted = entry.effective ? entry.version : 0;
     if (entry.invalidVersion > entry.version) {
-        return {path, effective ? entry.version : 0, entry.invalidVersion, entry.invalidReason};
+        return {path, accepted, entry.invalidVersion, entry.invalidReason};
     }
-    return {path, effective ? entry.version : 0, effective ? 0 : entry.version, std::move(reason)};
+    return entry.effective ? SettingsRecord{path, accepted, 0, {}}
+                           : SettingsRecord{path, 0, entry.version, conflict(path)};
 }
 
 const SettingsStore::Entry *SettingsStore::inEffect(const std::string &path) const
 {
     const auto it = m_entries.find(path);
-    return it != m_entries.end() && it->second.version > 0 && conflict(path).empty() ? &it->second : nullptr;
+    return it != m_entries.end() && it->second.effective ? &it->second : nullptr;
 }
 
 } // namespace laburnumspar
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-const std::string ServiceAt = "/teams/shop/services/orders";
+const std::string serviceAt = "/teams/shop/services/orders";
 
-const std::string Process = R"([instance]
+const std::string processText = R"([instance]
 zone = "palermo"
 seeds = ["10.0.0.2:7401"]
 [listen]
@@ -31,7 +31,7 @@
 drain_limit_ms = 30000
 )";
 
-const std::string Service = R"([service]
+const std::string serviceText = R"([service]
 upstreams = 10
 [limits]
 floor = 0.8
@@ -61,12 +61,12 @@
 
 SettingsError serviceError(const std::string &text)
 {
-    return errorOf(parseServiceSettings, text, ServiceAt);
+    return errorOf(parseServiceSettings, text, serviceAt);
 }
 
 SettingsError processError(const std::string &from, const std::string &to)
 {
-    auto text = Process;
+    auto text = processText;
     text.replace(text.find(from), from.size(), to);
     return errorOf(parseProcessSettings, text, "lspar.toml");
 }
@@ -100,7 +100,7 @@
 // Guards against keys that are read into the wrong field, and against defaults that differ from the header.
 BOOST_AUTO_TEST_CASE(valuesAndDefaultsAreRead)
 {
-    const auto process = parseProcessSettings(Process, "lspar.toml");
+    const auto process = parseProcessSettings(processText, "lspar.toml");
     BOOST_TEST(process.zone == "palermo");
     BOOST_TEST(toString(process.peers) == "[fd00::1]:7401");
     BOOST_TEST(toString(process.admin) == "127.0.0.1:7402");
@@ -108,7 +108,7 @@
     BOOST_TEST(process.instancesMax == 40U);
     BOOST_TEST(process.logLevel == "warning");
     BOOST_TEST(process.drainLimit.count() == 30000);
-    const auto service = parseServiceSettings(Service, ServiceAt);
+    const auto service = parseServiceSettings(serviceText, serviceAt);
     BOOST_TEST(service.team == "shop");
     BOOST_TEST(service.service == "orders");
     BOOST_TEST(service.floor == 0.8);
@@ -116,7 +116,7 @@
     BOOST_TEST(service.routes.at(0).deadline.count() == 1500);
     BOOST_TEST(!service.routes.at(0).idempotent);
     BOOST_CHECK(service.routes.at(1).workClass == WorkClass::Short);
-    BOOST_CHECK(parseServiceSettings("", ServiceAt).floor == ServiceSettings().floor);
+    BOOST_CHECK(parseServiceSettings("", serviceAt).floor == ServiceSettings().floor);
 }
 
 // Guards against an operator who cannot find the fault: the error names file, key and line.
@@ -182,7 +182,7 @@
         const auto error = serviceError(c.text);
         BOOST_TEST_INFO(c.text);
         BOOST_TEST_INFO(error.what());
-        BOOST_TEST(error.file() == ServiceAt);
+        BOOST_TEST(error.file() == serviceAt);
         BOOST_TEST(error.key() == c.key);
         BOOST_TEST(error.line() == c.line);
     }
@@ -194,10 +194,10 @@
 // Guards against printed settings that mean something else when they are read again.
 BOOST_AUTO_TEST_CASE(printedSettingsReadBack)
 {
-    const auto process = parseProcessSettings(Process, "lspar.toml");
+    const auto process = parseProcessSettings(processText, "lspar.toml");
     BOOST_CHECK(parseProcessSettings(toToml(process), "printed") == process);
     BOOST_CHECK(rc::check("service settings round trip", [] {
-        auto settings = parseServiceSettings(Service, ServiceAt);
+        auto settings = parseServiceSettings(serviceText, serviceAt);
         settings.floor = *rc::gen::map(rc::gen::arbitrary<std::uint32_t>(), [](auto n) { return n / 4294967295.0; });
         settings.longShare = *rc::gen::element(0.0, 1.0, 1e-9, 1.0 / 3);
         settings.slots = *rc::gen::inRange(1U, 300U);
@@ -205,7 +205,7 @@
             settings.routes.push_back({"/x" + path, WorkClass::Long, true, Milliseconds(7)});
         }
         sortRoutes(settings);
-        RC_ASSERT(parseServiceSettings(toToml(settings), ServiceAt) == settings);
+        RC_ASSERT(parseServiceSettings(toToml(settings), serviceAt) == settings);
     }));
 }
 
@@ -216,7 +216,7 @@
         for (unsigned count = 0; count <= total; ++count) {
             const auto text = "[service]\nupstreams = " + std::to_string(total)
                 + "\n[limits]\nfloor_upstreams = " + std::to_string(count);
-            BOOST_REQUIRE_EQUAL(std::ceil(parseServiceSettings(text, ServiceAt).floor * total), count);
+            BOOST_REQUIRE_EQUAL(std::ceil(parseServiceSettings(text, serviceAt).floor * total), count);
         }
     }
 }
@@ -224,7 +224,7 @@
 // Guards against a request that gets the class or idempotency of a neighbouring route.
 BOOST_AUTO_TEST_CASE(longestPrefixOfWholeSegmentsWins)
 {
-    const auto settings = parseServiceSettings(Service, ServiceAt);
+    const auto settings = parseServiceSettings(serviceText, serviceAt);
     BOOST_TEST(routeFor(settings, "/pay")->prefix == "/pay");
     BOOST_TEST(routeFor(settings, "/pay/7?next=/pay/status")->prefix == "/pay");
     BOOST_TEST(routeFor(settings, "/pay/status/9#x")->prefix == "/pay/status");
--- a/tests/test_settingsstore.cpp
+++ b/tests/test_settingsstore.cpp
@@ -17,9 +17,9 @@
 
 using Kind = OfferResult::Kind;
 
-const std::string Orders = "/teams/shop/services/orders";
-const std::string OrdersOfCrew = "/teams/crew/services/orders";
-const std::string Upstreams = R"({"upstreams":[{"address":"10.0.0.1:80","zone":"a","state":"live"}]})";
+const std::string ordersPath = "/teams/shop/services/orders";
+const std::string crewOrdersPath = "/teams/crew/services/orders";
+const std::string upstreamList = R"({"upstreams":[{"address":"10.0.0.1:80","zone":"a","state":"live"}]})";
 
 std::string slots(unsigned n)
 {
@@ -52,8 +52,8 @@
 
 std::vector<Offer> arbitraryOffers(unsigned world)
 {
-    static const std::vector<std::string> paths{Orders,
-                                                OrdersOfCrew,
+    static const std::vector<std::string> paths{ordersPath,
+                                                crewOrdersPath,
                                                 "/teams/crew.a/services/orders",
                                                 "/teams/crew/services/sites",
                                                 std::string(InstanceListPath),
@@ -109,34 +109,34 @@
 BOOST_AUTO_TEST_CASE(invalidValueLeavesTheLastAcceptedOne)
 {
     SettingsStore store;
-    BOOST_CHECK(store.offer(Orders, 3, slots(3)).kind == Kind::Accepted);
-    BOOST_CHECK(store.offer("/instances/orders", 4, Upstreams).kind == Kind::Accepted);
-    const auto refused = store.offer(Orders, 5, slots(0));
+    BOOST_CHECK(store.offer(ordersPath, 3, slots(3)).kind == Kind::Accepted);
+    BOOST_CHECK(store.offer("/instances/orders", 4, upstreamList).kind == Kind::Accepted);
+    const auto refused = store.offer(ordersPath, 5, slots(0));
     BOOST_CHECK(refused.kind == Kind::Rejected);
     BOOST_TEST(refused.reason.find("limits.slots") != std::string::npos);
     BOOST_TEST(store.service("orders")->slots == 3U);
     BOOST_TEST(store.upstreams("orders")->size() == 1U);
-    BOOST_CHECK(store.value(Orders) == (AcceptedValue{3, slots(3)}));
-    const auto record = recordsOf(store)[Orders];
-    BOOST_CHECK(record == (SettingsRecord{Orders, 3, 5, refused.reason}));
-    BOOST_CHECK(store.offer(Orders, 6, slots(6)).kind == Kind::Accepted);
-    BOOST_TEST(recordsOf(store)[Orders].rejectedVersion == 0U);
+    BOOST_CHECK(store.value(ordersPath) == (AcceptedValue{3, slots(3)}));
+    const auto record = recordsOf(store)[ordersPath];
+    BOOST_CHECK(record == (SettingsRecord{ordersPath, 3, 5, refused.reason}));
+    BOOST_CHECK(store.offer(ordersPath, 6, slots(6)).kind == Kind::Accepted);
+    BOOST_TEST(recordsOf(store)[ordersPath].rejectedVersion == 0U);
 }
 
 // Guards against a return to older settings, which a stale platform or peer would otherwise cause.
 BOOST_AUTO_TEST_CASE(versionsOnlyRise)
 {
     SettingsStore store;
-    store.offer(Orders, 5, slots(5));
-    BOOST_CHECK(store.offer(Orders, 4, slots(4)).kind == Kind::Older);
-    BOOST_CHECK(store.offer(Orders, 0, slots(4)).kind == Kind::Older);
-    BOOST_CHECK(store.offer(Orders, 5, slots(5)).kind == Kind::Same);
-    BOOST_CHECK(store.offer(Orders, 5, slots(4)).kind == Kind::Rejected);
+    store.offer(ordersPath, 5, slots(5));
+    BOOST_CHECK(store.offer(ordersPath, 4, slots(4)).kind == Kind::Older);
+    BOOST_CHECK(store.offer(ordersPath, 0, slots(4)).kind == Kind::Older);
+    BOOST_CHECK(store.offer(ordersPath, 5, slots(5)).kind == Kind::Same);
+    BOOST_CHECK(store.offer(ordersPath, 5, slots(4)).kind == Kind::Rejected);
     const auto before = store.service("orders");
     const auto hash = store.digestHash();
-    BOOST_CHECK(store.offer(Orders, 9, slots(5)).kind == Kind::Same);
-    BOOST_TEST((store.newerThan({{Orders, 8}}) == std::vector<SettingsVersion>{{Orders, 9}}));
-    BOOST_TEST(store.newerThan({{Orders, 9}}).empty());
+    BOOST_CHECK(store.offer(ordersPath, 9, slots(5)).kind == Kind::Same);
+    BOOST_TEST((store.newerThan({{ordersPath, 8}}) == std::vector<SettingsVersion>{{ordersPath, 9}}));
+    BOOST_TEST(store.newerThan({{ordersPath, 9}}).empty());
     BOOST_TEST(store.digest().at(0).version == 9U);
     BOOST_TEST(store.digestHash() != hash);
     BOOST_TEST(store.service("orders") == before);
@@ -146,10 +146,10 @@
 BOOST_AUTO_TEST_CASE(lastAcceptedValueIsPulledAfterARejection)
 {
     SettingsStore peer;
-    peer.offer(Orders, 5, slots(5));
-    peer.offer(Orders, 7, "invalid");
+    peer.offer(ordersPath, 5, slots(5));
+    peer.offer(ordersPath, 7, "invalid");
     SettingsStore late;
-    late.offer(Orders, 7, "invalid");
+    late.offer(ordersPath, 7, "invalid");
     pull(late, peer);
     BOOST_TEST(late.service("orders")->slots == 5U);
     BOOST_CHECK(late.dump() == peer.dump());
@@ -158,16 +158,16 @@
 // Guards against two teams that both believe they own a service, or an owner that depends on who came first.
 BOOST_AUTO_TEST_CASE(firstTeamKeepsTheServiceName)
 {
-    const Offer crew{OrdersOfCrew, 2, slots(2)};
-    const Offer shop{Orders, 5, slots(5)};
+    const Offer crew{crewOrdersPath, 2, slots(2)};
+    const Offer shop{ordersPath, 5, slots(5)};
     const auto early = storeOf({crew, shop});
     const auto late = storeOf({shop, crew});
     for (const auto *store : {&early, &late}) {
         BOOST_TEST(store->service("orders")->team == "crew");
         BOOST_TEST(store->services().size() == 1U);
         BOOST_TEST(store->digest().size() == 1U);
-        BOOST_TEST(!store->value(Orders).has_value());
-        const auto record = recordsOf(*store)[Orders];
+        BOOST_TEST(!store->value(ordersPath).has_value());
+        const auto record = recordsOf(*store)[ordersPath];
         BOOST_TEST(record.rejectedVersion == 5U);
         BOOST_TEST(record.reason.find("belongs to team crew") != std::string::npos);
     }
