settings: refuse deep keys and read many shares in linear time

Cause: a value of 400 KB with a key of 200,000 parts ended the process with a stack overflow: toml++ 3.3 limits nested values but not the parts of a key. A value of 1 MB with 70,640 shares took 15.7 s to validate, since each team was searched in the list of all of them. Ruled out: a limit on the length of lines, because an inline table of shares may be long, and nested values multiply the depth that a line can reach. Change: keys of more than 16 parts are refused before the text is parsed. The shares are not checked against a list of known keys.

--- a/src/detail/tomlsection.cpp
+++ b/src/detail/tomlsection.cpp
@@ -1,5 +1,6 @@
 #include "detail/tomlsection.h"
 
+#include "detail/tomlkeys.h"
 #include "laburnumspar/errors.h"
 #include "laburnumspar/settings.h"
 
@@ -34,6 +35,10 @@
     if (text.size() > MaxValueBytes) {
         throw SettingsError(file, "text", 0, "at most " + std::to_string(MaxValueBytes) + " bytes are allowed");
     }
+    if (const auto line = findDeepKey(text)) {
+        throw SettingsError(
+            file, "syntax", *line, "at most " + std::to_string(MaxKeyParts) + " parts of a key are allowed");
+    }
     try {
         return toml::parse(text, file);
     } catch (const toml::parse_error &e) {
@@ -49,7 +54,7 @@
     , m_file(std::move(file))
     , m_name(std::move(name))
 {
-    if (!m_table) {
+    if (!m_table || keys.empty()) {
         return;
     }
     const toml::key *unknown = nullptr;
--- a/src/detail/tomlsection.h
+++ b/src/detail/tomlsection.h
@@ -26,7 +26,7 @@
 class TomlSection
 {
 public:
-    /// Refuses keys that are not in `keys`. `table` may be null: a section that the text omits.
+    /// Refuses keys that are not in `keys`, unless that is empty. `table` may be null: a section that the text omits.
     TomlSection(const toml::table *table, std::string file, std::string name, std::vector<std::string_view> keys);
 
     /// Section `name` below the root; null table if it is missing.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -140,15 +140,11 @@
 
 void readShares(const toml::table &root, const std::string &path, ServiceSettings &settings)
 {
-    const auto *node = root.get("shares");
-    std::vector<std::string_view> teams;
-    if (node && node->is_table()) {
-        for (const auto &[team, share] : *node->as_table()) {
-            teams.push_back(team.str());
-        }
+    const auto shares = TomlSection::of(root, path, "shares", {});
+    if (!root.contains("shares")) {
+        return;
     }
-    const auto shares = TomlSection::of(root, path, "shares", teams);
-    for (const auto team : teams) {
+    for (const auto &[team, share] : *root.get("shares")->as_table()) {
         if (!isName(team)) {
             shares.fail(team, "the name of a team is allowed");
         }
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -256,3 +256,38 @@
         BOOST_REQUIRE(routeFor(settings, route.prefix + "/part/7?x=/area0") == &route);
     }
 }
+
+// Guards against a value that crashes every instance: toml++ 3.3 overflows the stack on a key of many parts.
+BOOST_AUTO_TEST_CASE(deepKeysAreRefused)
+{
+    const auto repeated = [](const std::string &part, int count) {
+        std::string text;
+        for (int n = 0; n < count; ++n) {
+            text += part;
+        }
+        return text;
+    };
+    for (const auto &key : {repeated("a.", 200000) + "a",
+                            repeated("a . ", 200000) + "a",
+                            repeated("\"=\".", 200000) + "a",
+                            repeated("'\"'.\"\\\"\".", 100000) + "a"}) {
+        BOOST_TEST(serviceError("# \"\n" + key + " = 1").line() == 2U);
+        BOOST_TEST(serviceError("x = \"\"\"\n\"\"\"\"\"\n[" + key + "]").line() == 3U);
+        BOOST_TEST(serviceError("x = {" + key + " = 1}").line() == 1U);
+    }
+    const auto nested = repeated("[{" + repeated("a.", 15) + "a = ", 120) + "1";
+    BOOST_TEST(serviceError("x = " + nested).key() == "syntax");
+    const auto wide = "shares = {a = 0.5, \"b.c\" = 0.25} # " + repeated("a.", 50) + "\n[[route]]\nprefix = \"/"
+        + repeated("a.", 100) + "\"";
+    BOOST_TEST(parseServiceSettings(wide, serviceAt).teamShares.size() == 2U);
+}
+
+// Guards against validation in quadratic time, which took 15.7 s for these shares and delays all other changes.
+BOOST_AUTO_TEST_CASE(manySharesAreRead)
+{
+    std::string text = "[shares]\n";
+    for (int n = 0; n < 60000; ++n) {
+        text += "org" + std::to_string(n) + " = 0.5\n";
+    }
+    BOOST_TEST(parseServiceSettings(text, serviceAt).teamShares.size() == 60000U);
+}
