--- a/tools/lspar-platform/callcounter.cpp
+++ b/src/detail/callcounter.cpp
@@ -1,8 +1,8 @@
-#include "callcounter.h"
+#include "detail/callcounter.h"
 
 #include <algorithm>
 
-namespace laburnumspar::platform {
+namespace laburnumspar::detail {
 
 namespace {
 
@@ -61,4 +61,4 @@
     m_secondStart += passed * Second;
 }
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::detail
--- a/tools/lspar-platform/callcounter.h
+++ b/src/detail/callcounter.h
@@ -8,10 +8,10 @@
 #include <map>
 #include <string>
 
-namespace laburnumspar::platform {
+namespace laburnumspar::detail {
 
-/// Counts calls by kind and by second. A second has the calls that started in it and the watches that were pending
-/// when it began.
+/// Counts calls of the platform stand-in by kind and by second. A second has the calls that started in it and the
+/// watches that were pending when it began.
 class CallCounter
 {
 public:
@@ -36,4 +36,4 @@
     std::uint64_t m_peak = 0;
 };
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::detail
--- a/tools/lspar-platform/platformstate.cpp
+++ b/src/detail/platformstate.cpp
@@ -1,8 +1,8 @@
-#include "platformstate.h"
+#include "detail/platformstate.h"
 
 #include "laburnumspar/platformdialect.h"
 
-namespace laburnumspar::platform {
+namespace laburnumspar::detail {
 
 std::uint64_t PlatformState::put(const std::string &path, std::string text)
 {
@@ -45,4 +45,4 @@
     return {{"version", m_instancesVersion}, {"instances", m_instances}};
 }
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::detail
--- a/tools/lspar-platform/platformstate.h
+++ b/src/detail/platformstate.h
@@ -7,9 +7,10 @@
 #include <string>
 #include <string_view>
 
-namespace laburnumspar::platform {
+namespace laburnumspar::detail {
 
-/// Values and the instance list with their versions. One counter numbers all changes, so versions only rise.
+/// State of the platform stand-in: values and the instance list with their versions. One counter numbers all changes,
+/// so versions only rise.
 class PlatformState
 {
 public:
@@ -41,4 +42,4 @@
     boost::json::array m_instances;
 };
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/tests/test_platformstate.cpp
@@ -0,0 +1,35 @@
+#include "detail/platformstate.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspar::detail;
+
+// Guards against a stand-in that numbers changes as the real platform never would: the fleet trusts rising versions.
+BOOST_AUTO_TEST_CASE(oneCounterNumbersAllChanges)
+{
+    PlatformState state;
+    BOOST_TEST(state.put("/a", "x") == 1U);
+    BOOST_TEST(state.setInstances({1}) == 2U);
+    BOOST_TEST(state.put("/a/b", "x") == 3U);
+    BOOST_TEST(state.put("/a", "x") == 4U);
+    BOOST_TEST(state.version() == 4U);
+    BOOST_TEST(state.find("/a/b")->version == 3U);
+    BOOST_TEST(state.find("/b") == nullptr);
+    BOOST_TEST(state.instances().at("version").as_uint64() == 2U);
+}
+
+// Guards against a watch that misses a change or reports one that the reader has.
+BOOST_AUTO_TEST_CASE(versionsAreSelectedByPrefixAndVersion)
+{
+    PlatformState state;
+    BOOST_TEST(state.versions("/", 0).empty());
+    state.put("/teams/a", "1");
+    state.put("/teams/b", "2");
+    state.setInstances({});
+    state.put("/teams", "4");
+    BOOST_TEST(boost::json::serialize(state.versions("/teams/", 1)) == R"([{"path":"/teams/b","version":2}])");
+    BOOST_TEST(state.versions("/teams", 0).size() == 3U);
+    BOOST_TEST(boost::json::serialize(state.versions("/inst", 0)) == R"([{"path":"/instances","version":3}])");
+    BOOST_TEST(state.versions("/instances", 3).empty());
+    BOOST_TEST(state.versions("/", 0).size() == 4U);
+}
--- a/tools/lspar-platform/platformservice.h
+++ b/tools/lspar-platform/platformservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "callcounter.h"
-#include "platformstate.h"
+#include "detail/callcounter.h"
+#include "detail/platformstate.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
@@ -13,6 +13,9 @@
 
 namespace laburnumspar::platform {
 
+using detail::CallCounter;
+using detail::PlatformState;
+
 using Request = boost::beast::http::request<boost::beast::http::string_body>;
 using Response = boost::beast::http::response<boost::beast::http::string_body>;
 using Socket = boost::asio::ip::tcp::socket;
