test_settings: read no character beyond the path

Cause: the scan that the look-up is compared with read path[n] before it knew that the path is longer than n; found by the address sanitizer. Change: the scan checks the prefix first. What it asserts is the same. Conclusion: the fault was in the test only.

--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -76,9 +76,10 @@
 {
     const RouteSettings *best = nullptr;
     for (const auto &route : settings.routes) {
-        const bool whole
-            = route.prefix == "/" || path.size() == route.prefix.size() || path[route.prefix.size()] == '/';
-        if (path.starts_with(route.prefix) && whole && (!best || best->prefix.size() < route.prefix.size())) {
+        if (!path.starts_with(route.prefix) || (best && best->prefix.size() >= route.prefix.size())) {
+            continue;
+        }
+        if (route.prefix == "/" || path.size() == route.prefix.size() || path[route.prefix.size()] == '/') {
             best = &route;
         }
     }
