io: keep captures out of co_await expressions

Cause: under load every instance ended with heap corruption. The address sanitizer showed the shared state of a decision being freed twice at the end of ServiceRuntime::admit. Ruled out: the order of setting and awaiting the value (both run under its lock), and reuse of upstream sockets (not on the reported stack). g++ 12 destroys the captures of a lambda inside of a co_await expression twice. Change: the lambda is a variable and holds a plain pointer into the state that the frame owns.

--- a/src/net/io.h
+++ b/src/net/io.h
@@ -84,9 +84,11 @@
 
     awaitable<T> wait() const
     {
-        auto state = m_state;
-        co_return co_await asio::async_initiate<decltype(asio::use_awaitable), void(T)>(
-            [state](auto handler) { arm(*state, std::move(handler)); }, asio::use_awaitable);
+        // The frame owns the state. g++ 12 destroys what a lambda in a co_await expression captures twice, so the
+        // lambda holds a plain pointer.
+        const auto owner = m_state;
+        auto initiate = [state = owner.get()](auto handler) { arm(*state, std::move(handler)); };
+        co_return co_await asio::async_initiate<decltype(asio::use_awaitable), void(T)>(initiate, asio::use_awaitable);
     }
 
 private:
