--- a/src/detail/evidencewindow.h
+++ b/src/detail/evidencewindow.h
@@ -34,6 +34,11 @@
     {
         return m_samples;
     }
+    /// Attempts that were still running when last reported.
+    std::size_t overdue() const
+    {
+        return m_overdue;
+    }
     /// Median of the latest run times, of attempts that ended or are overdue; 0 if there are none.
     Microseconds medianRunTime() const;
 
--- a/src/detail/healthdecider.cpp
+++ b/src/detail/healthdecider.cpp
@@ -6,24 +6,28 @@
 
 namespace {
 
-/// Limits of the score. The odds of a false alarm per sample fall with its exponential: one suspicion in some 20,000
+/// Limits of the score. The odds of a false alarm per sample fall with its exponential: one suspicion in some 10,000
 /// samples costs little, as it only turns work away for a moment; one ejection in 500 million is 1,300 hours of an
 /// upstream at 100 requests a second.
-constexpr double SuspectScore = 10;
+constexpr double SuspectScore = 9;
 constexpr double EjectScore = 20;
 /// An upstream that has just returned is known to have been faulty, and gets one request at a time.
 constexpr double ReturningScore = 7;
+/// Sum of the samples since the suspicion, without the choice of a beginning, that an ejection needs as well.
+constexpr double ConfirmScore = 2;
 /// Sum of the samples since the suspicion which clears an upstream.
 constexpr double ClearScore = -3.5;
 /// Successes of limited traffic after which the ramp begins.
 constexpr unsigned ReturnSuccesses = 3;
-/// A short stop, such as a garbage collection, makes an upstream suspect and is over before this.
+/// A short stop, such as a garbage collection, makes an upstream slow and so suspect, and is over before this.
 constexpr Milliseconds SuspectTime{300};
 /// Attempts without any answer, and time since the first, after which an upstream is reported as unreachable.
 constexpr unsigned UnreachableAttempts = 3;
 constexpr Milliseconds UnreachableTime{300};
 /// Upstreams with evidence in this time are counted to tell a fault of this instance's own network.
 constexpr Milliseconds NetworkWindow{2000};
+/// When all upstreams become slow at once, their attempts in flight look lost for less than this.
+constexpr Milliseconds NetworkFaultTime{200};
 
 } // namespace
 
@@ -55,7 +59,7 @@
 void HealthDecider::evaluate(TimePoint now)
 {
     collect(now);
-    compare();
+    compare(now);
     updateNetwork(now);
     clearCommonWrongAnswers();
     for (std::size_t n = 0; n < m_owned.size(); ++n) {
@@ -86,7 +90,7 @@
     }
 }
 
-std::vector<PeerComparison::Entry> HealthDecider::entries(std::size_t workClass) const
+std::vector<PeerComparison::Entry> HealthDecider::entries(std::size_t workClass, TimePoint now) const
 {
     const auto references = std::count_if(
         m_owned.begin(), m_owned.end(), [](const UpstreamRecord *record) { return isReference(record->state); });
@@ -94,16 +98,17 @@
     const bool all = 2 * static_cast<std::size_t>(references) < m_owned.size();
     std::vector<PeerComparison::Entry> entries;
     for (const auto *record : m_owned) {
-        entries.push_back({&record->windows[workClass], all || isReference(record->state)});
+        const bool usual = isReference(record->state) && !record->cold(now, m_pool.settings());
+        entries.push_back({&record->windows[workClass], all || usual});
     }
     return entries;
 }
 
-void HealthDecider::compare()
+void HealthDecider::compare(TimePoint now)
 {
     m_comparisons.clear();
     for (std::size_t workClass = 0; workClass < WorkClasses; ++workClass) {
-        m_comparisons.emplace_back(entries(workClass));
+        m_comparisons.emplace_back(entries(workClass, now));
         m_slowAfter[workClass] = m_comparisons.back().slowAfter();
     }
     for (std::size_t n = 0; n < m_owned.size(); ++n) {
@@ -117,10 +122,13 @@
             record.suspicion.slow = std::max(record.suspicion.slow, suspicion.slow);
             record.suspicion.failure = std::max(record.suspicion.failure, suspicion.failure);
         }
+        if (record.cold(now, m_pool.settings()) && record.silentCount < UnreachableAttempts) {
+            record.suspicion.slow = 0;
+        }
     }
 }
 
-void HealthDecider::updateNetwork(TimePoint now)
+bool HealthDecider::mostAreSilent(TimePoint now) const
 {
     std::size_t known = 0;
     std::size_t silent = 0;
@@ -130,7 +138,22 @@
             silent += record->silent() ? 1 : 0;
         }
     }
-    m_ownNetworkFault = 2 * silent > known;
+    return 2 * silent > known;
+}
+
+void HealthDecider::updateNetwork(TimePoint now)
+{
+    const bool fault = mostAreSilent(now);
+    if (fault && !m_ownNetworkFault) {
+        m_networkFaultSince = now;
+    }
+    // Attempts that were lost in the fault time out long after it, at upstreams that answer again.
+    if (!fault && m_ownNetworkFault && now - m_networkFaultSince >= NetworkFaultTime) {
+        for (auto *record : m_owned) {
+            record->discardPaused(m_networkFaultSince, now);
+        }
+    }
+    m_ownNetworkFault = fault;
 }
 
 /// Wrong answers from most upstreams at once point to the requests or to this instance, not to the upstreams.
@@ -195,12 +218,7 @@
 
 void HealthDecider::stepSuspect(UpstreamRecord &record, std::size_t n, TimePoint now)
 {
-    Suspicion sum;
-    for (const auto &comparison : m_comparisons) {
-        const auto part = comparison.sumSince(n, record.since);
-        sum.slow += part.slow;
-        sum.failure += part.failure;
-    }
+    const auto sum = sumSince(n, record.since);
     if (sum.slow <= ClearScore && sum.failure <= ClearScore && record.wrongAnswers.empty()) {
         m_pool.change(record, HealthState::Healthy, HealthReason::GoodEvidence, now);
     } else if (now - std::max(record.since, record.lastEvidence.value_or(record.since)) > EvidenceLife) {
@@ -211,16 +229,40 @@
     }
 }
 
+Suspicion HealthDecider::sumSince(std::size_t n, TimePoint from) const
+{
+    Suspicion sum;
+    for (const auto &comparison : m_comparisons) {
+        const auto part = comparison.sumSince(n, from);
+        sum.slow += part.slow;
+        sum.failure += part.failure;
+    }
+    return sum;
+}
+
+/// Whether work sent since the suspicion went badly too, or nothing at all comes back. Else the attempts that
+/// raised the suspicion could lead to an ejection by running on, while quick ones are no longer sent.
+bool HealthDecider::confirmed(std::size_t n, TimePoint now) const
+{
+    const auto &record = *m_owned[n];
+    const bool silent = record.silentCount >= UnreachableAttempts && now - record.silentSince >= UnreachableTime;
+    const auto sum = sumSince(n, record.since);
+    return silent || record.wrongScore() >= EjectScore || std::max(sum.slow, sum.failure) >= ConfirmScore;
+}
+
 void HealthDecider::ejectWorst(TimePoint now)
 {
     if (m_ownNetworkFault) {
         return;
     }
     std::vector<UpstreamRecord *> candidates;
-    for (auto *record : m_owned) {
-        if (record->state == HealthState::Suspect && record->score() >= EjectScore
-            && now - record->since >= SuspectTime) {
-            candidates.push_back(record);
+    for (std::size_t n = 0; n < m_owned.size(); ++n) {
+        auto &record = *m_owned[n];
+        // Answers that show a failure need no time to confirm; silence may still be a short stop or a restart.
+        const bool failing = std::max(record.suspicion.failure, record.wrongScore()) >= EjectScore && !record.silent();
+        if (record.state == HealthState::Suspect && record.score() >= EjectScore
+            && (failing || now - record.since >= SuspectTime) && confirmed(n, now)) {
+            candidates.push_back(&record);
         }
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const UpstreamRecord *a, const UpstreamRecord *b) {
--- a/src/detail/peercomparison.cpp
+++ b/src/detail/peercomparison.cpp
@@ -15,15 +15,22 @@
 /// Scheduling delays of the instances and upstreams alone reach some milliseconds.
 constexpr Microseconds MinimumSlow{20000};
 
-/// Share of slow attempts at a faulty upstream. With 0.7 an upstream that is twice as slow as its peers passes.
-constexpr double FaultySlow = 0.7;
+/// Shares of slow and of very slow attempts at a faulty upstream. With 0.7 in all an upstream that is twice as slow as
+/// its peers passes. They add up with the share of fast attempts to 1, else chance alone drives the sum up.
+constexpr double FaultySlow = 0.45;
+constexpr double FaultyVerySlow = 0.25;
+constexpr double FaultyFast = 1 - FaultySlow - FaultyVerySlow;
 /// Share of failed attempts at a faulty upstream.
 constexpr double FaultyFailed = 0.3;
 /// Rates below these are not trusted, as they would make single events decisive.
 constexpr double MinimumSlowRate = 0.02;
-constexpr double MinimumVerySlowRate = 0.003;
+constexpr double MinimumVerySlowRate = 0.0025;
 /// Above this rate the event is common among the peers, so a good sample says nothing either.
 constexpr double MaximumRate = 0.5;
+/// Enough for rates near the least ones, and bounds the cost of a comparison in large pools.
+constexpr std::size_t MaximumPeers = 16;
+/// Evidence below this decides nothing, so it is not worth the exact computation.
+constexpr double RoughScore = 5;
 
 enum class Mark : std::uint8_t {
     Neutral,
@@ -104,8 +111,9 @@
         const double slow = larger(&EvidenceCounts::slow, &EvidenceCounts::timed, MinimumSlowRate);
         const double verySlow = larger(&EvidenceCounts::verySlow, &EvidenceCounts::timed, MinimumVerySlowRate);
         m_slow = std::log(FaultySlow / slow);
-        m_verySlow = std::log(FaultySlow / std::min(slow, verySlow));
-        m_fast = std::log((1 - FaultySlow) / (1 - std::min(slow, MaximumRate)));
+        // Very slow is never weaker evidence than slow.
+        m_verySlow = std::max(m_slow, std::log(FaultyVerySlow / std::min(slow, verySlow)));
+        m_fast = std::log(FaultyFast / (1 - std::min(slow, MaximumRate)));
         const double failed = larger(&EvidenceCounts::failed, &EvidenceCounts::ended, 0);
         // At least a small step down, else nothing speaks for an upstream among failing peers.
         m_ended = std::min(-0.05, std::log((1 - FaultyFailed) / (1 - std::min(failed, MaximumRate))));
@@ -196,11 +204,14 @@
 PeerComparison::peerCounts(std::size_t n, std::optional<TimePoint> from, std::optional<Microseconds> slowAfter) const
 {
     EvidenceCounts counts;
-    for (std::size_t peer = 0; peer < m_entries.size(); ++peer) {
-        if (peer == n || !m_entries[peer].reference) {
+    std::size_t peers = 0;
+    for (std::size_t step = 1; step < m_entries.size() && peers < MaximumPeers; ++step) {
+        const auto &entry = m_entries[(n + step) % m_entries.size()];
+        if (!entry.reference) {
             continue;
         }
-        const auto &samples = m_entries[peer].window->samples();
+        ++peers;
+        const auto &samples = entry.window->samples();
         for (auto it = samples.rbegin(); it != samples.rend() && (!from || it->at >= *from); ++it) {
             count(counts, *it, slowAfter);
         }
@@ -208,26 +219,43 @@
     return counts;
 }
 
+Suspicion
+PeerComparison::roughSuspicion(std::size_t n, const EvidenceCounts &all, std::optional<Microseconds> slowAfter) const
+{
+    const Weights weights(all, all);
+    Suspicion sum;
+    for (const auto &sample : m_entries[n].window->samples()) {
+        sum.slow = std::max(0.0, sum.slow + weights.time(timeMark(sample, slowAfter)));
+        sum.failure = std::max(0.0, sum.failure + weights.failure(sample));
+    }
+    return sum;
+}
+
 Suspicion PeerComparison::suspicion(std::size_t n) const
 {
-    Suspicion strongest;
     const auto limit = slowAfter(n);
     const auto &samples = m_entries[n].window->samples();
-    std::optional<EvidenceCounts> all;
-    for (std::size_t first = 0; first < samples.size(); ++first) {
-        // The strongest sum begins with a bad sample.
-        const auto time = timeMark(samples[first], limit);
-        if (time != Mark::Bad && time != Mark::VeryBad && failureMark(samples[first]) != Mark::Bad) {
-            continue;
-        }
-        if (!all) {
-            all = peerCounts(n, std::nullopt, limit);
-        }
-        const Weights weights(peerCounts(n, samples[first].at, limit), *all);
+    const auto bad = [&](const Sample &sample) {
+        const auto time = timeMark(sample, limit);
+        return time == Mark::Bad || time == Mark::VeryBad || failureMark(sample) == Mark::Bad;
+    };
+    auto first = std::find_if(samples.begin(), samples.end(), bad);
+    if (first == samples.end()) {
+        return {};
+    }
+    const auto all = peerCounts(n, std::nullopt, limit);
+    const auto rough = roughSuspicion(n, all, limit);
+    if (std::max(rough.slow, rough.failure) < RoughScore) {
+        return rough;
+    }
+    Suspicion strongest;
+    // The strongest sum begins with a bad sample.
+    for (; first != samples.end(); first = std::find_if(first + 1, samples.end(), bad)) {
+        const Weights weights(peerCounts(n, first->at, limit), all);
         Suspicion sum;
-        for (std::size_t it = first; it < samples.size(); ++it) {
-            sum.slow += weights.time(timeMark(samples[it], limit));
-            sum.failure += weights.failure(samples[it]);
+        for (auto it = first; it != samples.end(); ++it) {
+            sum.slow += weights.time(timeMark(*it, limit));
+            sum.failure += weights.failure(*it);
         }
         strongest.slow = std::max(strongest.slow, sum.slow);
         strongest.failure = std::max(strongest.failure, sum.failure);
--- a/src/detail/peercomparison.h
+++ b/src/detail/peercomparison.h
@@ -49,6 +49,8 @@
     Suspicion sumSince(std::size_t n, TimePoint from) const;
 
 private:
+    /// As suspicion(), but with the rates of the peers over their whole windows.
+    Suspicion roughSuspicion(std::size_t n, const EvidenceCounts &all, std::optional<Microseconds> slowAfter) const;
     EvidenceCounts
     peerCounts(std::size_t n, std::optional<TimePoint> from, std::optional<Microseconds> slowAfter) const;
 
--- a/src/detail/upstreamrecord.cpp
+++ b/src/detail/upstreamrecord.cpp
@@ -193,6 +193,16 @@
     }
 }
 
+/// One more than the attempts that are stuck, or these would keep a trial from starting.
+unsigned UpstreamRecord::trialSlots() const
+{
+    std::size_t stuck = 0;
+    for (const auto &window : windows) {
+        stuck += window.overdue();
+    }
+    return std::min(static_cast<unsigned>(stuck) + 1, member.slots);
+}
+
 unsigned UpstreamRecord::shedLimit(TimePoint now, unsigned slots) const
 {
     const auto steps = static_cast<unsigned>((now - m_lastShedCut) / ShedStep);
@@ -204,6 +214,11 @@
     return rampFrom && now < *rampFrom + settings.rampTime;
 }
 
+bool UpstreamRecord::cold(TimePoint now, const HealthSettings &settings) const
+{
+    return state != HealthState::Returning && ramping(now, settings);
+}
+
 unsigned UpstreamRecord::rampedSlots(TimePoint now, const HealthSettings &settings) const
 {
     const auto slots = member.slots;
@@ -224,7 +239,7 @@
         return {most, 0};
     }
     if (state == HealthState::Suspect) {
-        return {most, m_trialOpen ? 0U : 1U};
+        return m_trialOpen ? Admission{trialSlots(), 0} : Admission{most, 1};
     }
     if (failureBurst) {
         return {most, 1};
--- a/src/detail/upstreamrecord.h
+++ b/src/detail/upstreamrecord.h
@@ -37,6 +37,8 @@
     Admission admission(TimePoint now, const HealthSettings &settings) const;
 
     bool ramping(TimePoint now, const HealthSettings &settings) const;
+    /// Still warming up after its start, when long run times are no fault.
+    bool cold(TimePoint now, const HealthSettings &settings) const;
     /// Serving at full capacity, with good evidence in the last EvidenceLife.
     bool confirmedHealthy(TimePoint now, const HealthSettings &settings) const;
     /// Neither ejected nor draining.
@@ -75,6 +77,7 @@
     void noteAnswer(const Evidence &evidence, bool newAttempt);
     void noteShed(TimePoint at);
     void noteGood(const Evidence &evidence);
+    unsigned trialSlots() const;
     unsigned shedLimit(TimePoint now, unsigned slots) const;
     unsigned rampedSlots(TimePoint now, const HealthSettings &settings) const;
 
