dispatcher: keep the queue short in a lasting overload

Ruled out: a fixed limit on the wait, which would refuse work in bursts that the deadlines allow to be worked off. Change: the time reserved for execution covers all but about one in two hundred; the slot time is averaged over up to 512 items; a team whose queue has stayed beyond 25 ms (or four executions) for one second is held to that.

--- a/bench/dispatchersimulation.cpp
+++ b/bench/dispatchersimulation.cpp
@@ -5,6 +5,7 @@
 #include <queue>
 #include <random>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace laburnumspar::bench {
 
@@ -55,6 +56,7 @@
     TimePoint deadline;
     double runMs = 0;
     bool measured = false;
+    UpstreamId upstream;
 };
 
 class Simulation
@@ -71,6 +73,7 @@
     void apply(const std::vector<Decision> &decisions);
     void count(const Request &request, std::uint64_t Tally::*counter);
     double drawRunMs(const Stream &stream);
+    double slowdown(const UpstreamId &upstream) const;
     bool measuring(TimePoint at) const;
 
     template <typename Function>
@@ -88,6 +91,8 @@
     std::mt19937_64 m_random;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
     std::unordered_map<std::uint64_t, Request> m_requests;
+    std::unordered_map<UpstreamId, unsigned> m_running;
+    std::unordered_set<UpstreamId> m_slow;
     Result m_result;
     TimePoint m_now = atSecond(0);
     std::uint64_t m_sequence = 0;
@@ -113,6 +118,9 @@
     for (int n = 1; n <= scenario.upstreams; ++n) {
         pool.push_back({{"10.0.0." + std::to_string(n), 80}, scenario.slots});
     }
+    for (unsigned n = 0; n < scenario.slowUpstreams; ++n) {
+        m_slow.insert(pool.at(n).id);
+    }
     m_dispatcher.setUpstreams(pool, m_now);
     m_result.streams.resize(scenario.streams.size());
 }
@@ -181,7 +189,7 @@
         = std::uniform_real_distribution<>(stream.deadlineFromMs, stream.deadlineToMs + 1e-9)(m_random);
     const std::uint64_t ticket = m_nextTicket++;
     const TimePoint deadline = m_now + durationOfMs(deadlineMs);
-    m_requests[ticket] = {number, m_now, {}, deadline, drawRunMs(stream), measuring(m_now)};
+    m_requests[ticket] = {number, m_now, {}, deadline, drawRunMs(stream), measuring(m_now), {}};
     count(m_requests[ticket], &Tally::submitted);
     WorkItem item{ticket, stream.team, stream.route, stream.declared, deadline, true, {}};
     timed([&] { return m_dispatcher.submit(std::move(item), m_now); });
@@ -191,6 +199,7 @@
 {
     const Request request = m_requests.at(ticket);
     m_requests.erase(ticket);
+    --m_running[request.upstream];
     Completion completion;
     if (msBetween(request.startedAt, m_now) + 1e-6 >= request.runMs) {
         m_goodMs += measuring(m_now) ? request.runMs : 0;
@@ -215,6 +224,9 @@
         Request &request = m_requests.at(decision.ticket);
         if (decision.kind == Decision::Kind::Start) {
             request.startedAt = m_now;
+            request.upstream = decision.upstream;
+            request.runMs *= slowdown(decision.upstream);
+            ++m_running[decision.upstream];
             const TimePoint end = std::min(m_now + durationOfMs(request.runMs), request.deadline);
             schedule(end, Event::Kind::Finish, decision.ticket);
             continue;
@@ -242,6 +254,15 @@
     return factor * stream.meanRunMs * (FixedPart + (1 - FixedPart) * random);
 }
 
+/// Factor for an execution that starts on the upstream now.
+double Simulation::slowdown(const UpstreamId &upstream) const
+{
+    const auto it = m_running.find(upstream);
+    const double others = it == m_running.end() ? 0 : it->second;
+    const double interference = 1 + m_scenario.interference * others / std::max(1U, m_scenario.slots - 1);
+    return m_slow.count(upstream) == 0 ? interference : interference * 3;
+}
+
 bool Simulation::measuring(TimePoint at) const
 {
     return at >= atSecond(m_scenario.measureFrom) && at < atSecond(m_scenario.measureTo);
--- a/src/detail/classestimator.cpp
+++ b/src/detail/classestimator.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Weight of a new sample once there are enough: follows a change within some twenty executions.
-constexpr double SampleWeight = 1.0 / 16;
 // The usual time of a class changes more slowly than that of a route, so that one busy route does not define it.
 constexpr double UsualWeight = 1.0 / 64;
 // Below this number of samples a class has no usual time, and a route keeps its declared class.
@@ -24,14 +22,14 @@
 
 } // namespace
 
-void RunTimeAverage::add(double us)
+void RunTimeAverage::add(double us, double weight)
 {
     ++m_samples;
     if (m_samples == 1) {
         m_mean = us;
         return;
     }
-    const double weight = std::max(SampleWeight, 1.0 / m_samples);
+    weight = std::max(weight, 1.0 / m_samples);
     m_deviation += weight * (std::abs(us - m_mean) - m_deviation);
     m_mean += weight * (us - m_mean);
 }
@@ -87,7 +85,7 @@
     }
     if (route.runTime.mean() > OverrunFactor * usualShort) {
         route.learned = WorkClass::Long;
-    } else if (route.runTime.upper() < ShortFactor * usualShort) {
+    } else if (route.runTime.mean() + 2 * route.runTime.deviation() < ShortFactor * usualShort) {
         route.learned = WorkClass::Short;
     }
 }
--- a/src/detail/classestimator.h
+++ b/src/detail/classestimator.h
@@ -13,7 +13,11 @@
 class RunTimeAverage
 {
 public:
-    void add(double us);
+    // Follows a change within some twenty executions.
+    static constexpr double DefaultWeight = 1.0 / 16;
+
+    /// `weight` of the sample, once there are enough.
+    void add(double us, double weight = DefaultWeight);
     double mean() const
     {
         return m_mean;
@@ -22,10 +26,10 @@
     {
         return m_deviation;
     }
-    /// Exceeded by about one execution in ten.
+    /// Exceeded by about one execution in two hundred where their times are exponential.
     double upper() const
     {
-        return m_mean + 2 * m_deviation;
+        return m_mean + 6 * m_deviation;
     }
     unsigned samples() const
     {
--- a/src/detail/dispatcherprivate.h
+++ b/src/detail/dispatcherprivate.h
@@ -49,6 +49,7 @@
     // Admission.
     Reason admit(Entry &entry, TimePoint now);
     Reason admitToQueue(const Entry &entry, TimePoint now) const;
+    bool beyondTarget(const detail::Team &team, WorkClass workClass, TimePoint now) const;
     bool makeRoom(const detail::Team &team, TimePoint now, Decisions &decisions);
     double classSlots(WorkClass workClass, TimePoint now) const;
     detail::DrainRate drainRate(const detail::Team &team, WorkClass workClass, TimePoint now) const;
--- a/src/detail/fairqueue.cpp
+++ b/src/detail/fairqueue.cpp
@@ -16,6 +16,19 @@
 // Idle teams are kept up to this number: forgetting one costs a scan.
 constexpr std::size_t IdleTeamsKept = 256;
 
+// The mean of the slot time covers about this time, but between 16 and 512 items: fewer would be noise in a long queue,
+// more would follow a slowdown too late.
+constexpr double SlotTimeWindowUs = 1'000'000;
+constexpr double MinSlotTimeWeight = 1.0 / 512;
+// A burst that the queue has not worked off after this time is an overload; it is over when the target has not been
+// enforced for as long.
+constexpr Milliseconds LastingOverload{1000};
+
+double microsBetween(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration<double, std::micro>(to - from).count();
+}
+
 std::size_t index(WorkClass workClass)
 {
     return static_cast<std::size_t>(workClass);
@@ -32,10 +45,30 @@
 
 double SlotMeter::average(TimePoint now) const
 {
-    const double us = std::chrono::duration<double, std::micro>(std::max(now, m_at) - m_at).count();
+    const double us = microsBetween(m_at, std::max(now, m_at));
     return m_held + (m_average - m_held) * std::exp(-us / MeterTimeUs);
 }
 
+void SlotTimeAverage::add(double us, TimePoint now)
+{
+    const double weight = microsBetween(m_at, now) / SlotTimeWindowUs;
+    m_average.add(us, std::clamp(weight, MinSlotTimeWeight, RunTimeAverage::DefaultWeight));
+    m_at = now;
+}
+
+bool OverloadDetector::mustStayShort(bool beyondTarget, TimePoint now)
+{
+    if (!beyondTarget) {
+        m_calmAt = now;
+        return false;
+    }
+    const bool lasting = now - m_calmAt >= LastingOverload || now - m_limitedAt < LastingOverload;
+    if (lasting) {
+        m_limitedAt = now;
+    }
+    return lasting;
+}
+
 bool FairQueue::DueFirst::operator()(const Team *a, const Team *b) const
 {
     return std::pair(a->virtualTime, a->number) < std::pair(b->virtualTime, b->number);
@@ -105,8 +138,8 @@
     charge(team, heldUs - costUs);
     team.meters[index(workClass)].add(-1, now);
     m_meters[index(workClass)].add(-1, now);
-    team.slotTime[index(workClass)].add(heldUs);
-    m_slotTime[index(workClass)].add(heldUs);
+    team.slotTime[index(workClass)].add(heldUs, now);
+    m_slotTime[index(workClass)].add(heldUs, now);
     updateActive(team);
 }
 
@@ -139,7 +172,7 @@
 
 double FairQueue::slotTime(const Team &team, WorkClass workClass) const
 {
-    const RunTimeAverage &own = team.slotTime[index(workClass)];
+    const auto &own = team.slotTime[index(workClass)];
     return own.samples() >= EnoughSamples ? own.mean() : slotTime(workClass);
 }
 
--- a/src/detail/fairqueue.h
+++ b/src/detail/fairqueue.h
@@ -33,6 +33,38 @@
     TimePoint m_at;
 };
 
+/// Mean time for which items hold their slots, over many items: the error of a long wait is that of this mean.
+class SlotTimeAverage
+{
+public:
+    void add(double us, TimePoint now);
+    double mean() const
+    {
+        return m_average.mean();
+    }
+    unsigned samples() const
+    {
+        return m_average.samples();
+    }
+
+private:
+    RunTimeAverage m_average;
+    TimePoint m_at;
+};
+
+/// Tells a lasting overload from a burst. A burst may fill the queue up to the deadlines; in a lasting overload a long
+/// queue only delays every request, because a short one keeps the slots as busy.
+class OverloadDetector
+{
+public:
+    /// Notes whether a new item would wait longer than the target; true if it must not wait longer.
+    bool mustStayShort(bool beyondTarget, TimePoint now);
+
+private:
+    TimePoint m_calmAt; // last time with a wait within the target
+    TimePoint m_limitedAt; // last time that the target was enforced
+};
+
 /// Queues and slot use of one calling team.
 struct Team {
     std::string name;
@@ -41,7 +73,8 @@
     double virtualTime = 0; ///< slot time used, divided by the weight
     std::array<DeadlineQueue, 2> queues; ///< by class
     std::array<SlotMeter, 2> meters; ///< by class
-    std::array<RunTimeAverage, 2> slotTime; ///< time that an item holds its slot, by class
+    std::array<SlotTimeAverage, 2> slotTime; ///< by class
+    std::array<OverloadDetector, 2> overload; ///< by class
     bool active = false; ///< has waiting or started items
 
     std::size_t queued() const
@@ -114,7 +147,7 @@
     std::map<std::string, std::unique_ptr<Team>> m_teams;
     std::array<Backlog, 2> m_backlog;
     std::array<SlotMeter, 2> m_meters;
-    std::array<RunTimeAverage, 2> m_slotTime;
+    std::array<SlotTimeAverage, 2> m_slotTime;
     std::array<std::size_t, 2> m_sizes{};
     std::size_t m_size = 0;
     double m_virtualTime = 0;
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -11,6 +11,13 @@
 constexpr std::size_t RecentDecisions = 64;
 // Estimated waits are means; a queue filled up to the mean would miss half of its deadlines when service is uneven.
 constexpr double WaitMargin = 1.1;
+// Admitted items give way to more urgent ones only as long as the estimate leaves them this margin.
+constexpr double InsertMargin = 1.05;
+// In a lasting overload a team waits for a few executions, or for as long as a poll takes to notice changes. That is
+// enough to keep the slots busy between two arrivals.
+constexpr double TargetWaitUs = 25'000;
+constexpr double TargetWaitExecutions = 4;
+constexpr std::size_t TargetWaitItems = 4;
 // Of a deadline that is short against the execution time, waiting may still use this share.
 constexpr double MinWaitShare = 0.3;
 
@@ -99,7 +106,18 @@
         return entry.trial ? Reason::None : Reason::DeadlineTooShort;
     }
     const bool waits = m_queue.size(entry.workClass) > 0 || !m_slots.hasFree(entry.workClass);
-    return waits ? admitToQueue(entry, now) : Reason::None;
+    const Reason reason = waits ? admitToQueue(entry, now) : Reason::None;
+    const bool beyond = waits && beyondTarget(*entry.team, entry.workClass, now);
+    const bool limited = entry.team->overload[index(entry.workClass)].mustStayShort(beyond, now);
+    return reason == Reason::None && limited ? Reason::DeadlineTooShort : reason;
+}
+
+/// True if the team has more waiting items than a lasting overload allows.
+bool Dispatcher::Private::beyondTarget(const detail::Team &team, WorkClass workClass, TimePoint now) const
+{
+    const std::size_t waiting = team.queues[index(workClass)].size();
+    const double targetUs = std::max(TargetWaitUs, TargetWaitExecutions * m_queue.slotTime(team, workClass));
+    return waiting >= TargetWaitItems && double(waiting) * drainRate(team, workClass, now).perItemUs > targetUs;
 }
 
 /// Estimates the wait behind the items of the same team and class that are due earlier.
@@ -116,6 +134,7 @@
     }
     // An urgent item must not push admitted ones past their deadlines.
     rate.runTimeUs = runTime.mean();
+    rate.perItemUs *= InsertMargin;
     return queue.toleratesInsert(entry.item.deadline, rate) ? Reason::None : Reason::DeadlineTooShort;
 }
 
--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -485,3 +485,31 @@
     });
     BOOST_TEST(held);
 }
+
+// Guards against a long queue that a lasting overload keeps full: it delays every request and serves no more of them.
+BOOST_AUTO_TEST_CASE(lastingOverloadKeepsTheQueueShort)
+{
+    auto dispatcher = Dispatcher::Builder().build();
+    dispatcher.setUpstreams(pool(1, 1), at(0));
+    teach(dispatcher, shortItem(0, 1000), 5, 20);
+    std::set<std::uint64_t> running;
+    std::uint64_t next = 0;
+    std::uint32_t afterBurst = 0;
+    for (int now = 0; now < 5'000; now += 5) {
+        for (const std::uint64_t ticket : std::exchange(running, {})) {
+            for (const Decision &decision : dispatcher.finish(ticket, done(5), at(now))) {
+                running.insert(decision.ticket);
+            }
+        }
+        for (int n = 0; n < 5; ++n) {
+            for (const Decision &decision : dispatcher.submit(shortItem(next++, now + 1'000), at(now))) {
+                if (decision.kind == Decision::Kind::Start) {
+                    running.insert(decision.ticket);
+                }
+            }
+        }
+        afterBurst = now == 900 ? dispatcher.load().queued : afterBurst;
+    }
+    BOOST_TEST(afterBurst > 100U);
+    BOOST_TEST(dispatcher.load().queued <= 6U);
+}
