dispatcher: follow learned classes in the queue, forget idle teams

Cause: long items that were queued before their route was learned still started as short ones and could fill all slots; team names sent by callers stayed in memory, because the virtual time stands still while every request comes from a new team; a refusal at a full queue looked through all waiting teams; trials of routes that look too slow added up with the number of routes. Ruled out: sorting the queues anew with every class change, since only the items at the head matter. Change: the class is looked up again before a start; debts of slot time end after 2 s; a team over its share of a full queue is refused first; at most two trials a second. The property now varies what the admission hook allows.

--- a/include/laburnumspar/dispatcher.h
+++ b/include/laburnumspar/dispatcher.h
@@ -116,6 +116,7 @@
     unsigned longLimit = 0;
     unsigned longRunning = 0;
     std::size_t queued = 0;
+    std::size_t teamsKnown = 0; ///< with or without work
     Microseconds usualShort{0};
     Microseconds usualLong{0};
 };
--- a/src/detail/classestimator.cpp
+++ b/src/detail/classestimator.cpp
@@ -13,7 +13,9 @@
 constexpr unsigned EnoughSamples = 8;
 // A route counts as short again only well below the border, so that it does not change class with every sample.
 constexpr double ShortFactor = 3;
-constexpr std::chrono::seconds TrialInterval{1};
+constexpr Milliseconds TrialInterval{1000};
+// Trials mostly waste their slot; with many routes they must not add up.
+constexpr Milliseconds TrialSpacing{500};
 
 std::size_t index(WorkClass workClass)
 {
@@ -105,10 +107,11 @@
 bool ClassEstimator::takeTrial(const std::string &route, TimePoint now)
 {
     Route &known = touch(route);
-    if (now - known.lastSample < TrialInterval) {
+    if (now - known.lastSample < TrialInterval || now - m_lastTrial < TrialSpacing) {
         return false;
     }
     known.lastSample = now;
+    m_lastTrial = now;
     return true;
 }
 
--- a/src/detail/classestimator.h
+++ b/src/detail/classestimator.h
@@ -61,7 +61,8 @@
     const RunTimeAverage &runTime(const std::string &route, WorkClass workClass) const;
     /// Geometric mean of the class; 0 until there are enough samples.
     Microseconds usual(WorkClass workClass) const;
-    /// True once a second for a route without recent samples: an estimate that refuses all work is never corrected.
+    /// True once a second for a route without recent samples, and twice a second for all routes: an estimate that
+    /// refuses all work is never corrected otherwise.
     bool takeTrial(const std::string &route, TimePoint now);
     std::vector<RouteDump> routes() const;
 
@@ -89,6 +90,7 @@
     std::unordered_map<std::string, std::list<Route>::iterator> m_byName;
     RunTimeAverage m_classes[2];
     Usual m_usual[2];
+    TimePoint m_lastTrial;
 };
 
 } // namespace laburnumspar::detail
--- a/src/detail/dispatcherdump.cpp
+++ b/src/detail/dispatcherdump.cpp
@@ -128,6 +128,7 @@
     dump.longLimit = m_slots.longLimit();
     dump.longRunning = m_slots.longRunning();
     dump.queued = m_queue.size();
+    dump.teamsKnown = m_queue.teams().size();
     dump.usualShort = m_estimator.usual(WorkClass::Short);
     dump.usualLong = m_estimator.usual(WorkClass::Long);
     return dump;
--- a/src/detail/dispatcherprivate.h
+++ b/src/detail/dispatcherprivate.h
@@ -59,6 +59,7 @@
     void startWaiting(TimePoint now, Decisions &decisions);
     bool decideNext(TimePoint now, Decisions &decisions);
     bool decideFor(detail::Team &team, WorkClass workClass, TimePoint now, Decisions &decisions);
+    bool followClass(Entry &entry);
     void start(Entry &entry, detail::Slot &slot, TimePoint now, Decisions &decisions);
     void refuse(Entries::iterator it, Reason reason, TimePoint now, Decisions &decisions);
     Reason hopeless(const Entry &entry, TimePoint now) const;
--- a/src/detail/dispatcherstart.cpp
+++ b/src/detail/dispatcherstart.cpp
@@ -26,7 +26,7 @@
     }
 }
 
-/// Starts or refuses one waiting item; false if nothing can be decided.
+/// Starts, refuses or reclassifies one waiting item; false if there is nothing to do.
 bool Dispatcher::Private::decideNext(TimePoint now, Decisions &decisions)
 {
     struct Turn {
@@ -55,6 +55,9 @@
     for (const std::uint64_t ticket : team.queues[index(workClass)].head(ItemsTried)) {
         const auto it = m_entries.find(ticket);
         requireInvariant(it != m_entries.end() && !it->second.slot, "a queued item waits");
+        if (followClass(it->second)) {
+            return true;
+        }
         const Reason reason = hopeless(it->second, now);
         if (reason != Reason::None) {
             refuse(it, reason, now, decisions);
@@ -73,6 +76,19 @@
     return false;
 }
 
+/// Moves a waiting item to the queue of the class that its route has been learned as since; true if it moved.
+bool Dispatcher::Private::followClass(Entry &entry)
+{
+    const WorkClass learned = m_estimator.classify(entry.item.route, entry.item.workClass);
+    if (learned == entry.workClass) {
+        return false;
+    }
+    m_queue.erase(*entry.team, entry.workClass, entry.key);
+    entry.workClass = learned;
+    m_queue.push(*entry.team, entry.workClass, entry.key, entry.item.ticket);
+    return true;
+}
+
 /// Why the item must not start any more; None if it may.
 Reason Dispatcher::Private::hopeless(const Entry &entry, TimePoint now) const
 {
--- a/src/detail/fairqueue.cpp
+++ b/src/detail/fairqueue.cpp
@@ -15,6 +15,9 @@
 constexpr unsigned EnoughSamples = 8;
 // Idle teams are kept up to this number: forgetting one costs a scan.
 constexpr std::size_t IdleTeamsKept = 256;
+constexpr Milliseconds DropInterval{500};
+// The virtual time stands still while every request comes from a new team, so debts must also end with time.
+constexpr Milliseconds DebtLifetime{2000};
 
 // The mean of the slot time covers about this time, but between 16 and 512 items: fewer would be noise in a long queue,
 // more would follow a slowdown too late.
@@ -128,6 +131,7 @@
     }
     m_virtualTime = std::max(m_virtualTime, team.virtualTime);
     charge(team, costUs);
+    team.lastStart = now;
     team.meters[index(workClass)].add(1, now);
     m_meters[index(workClass)].add(1, now);
     updateActive(team);
@@ -204,13 +208,15 @@
     return double(team.queued() + 1) > double(queueLimit) * team.weight / activeWeightWith(team);
 }
 
-void FairQueue::dropIdle()
+void FairQueue::dropIdle(TimePoint now)
 {
-    if (m_teams.size() < m_activeTeams + IdleTeamsKept) {
+    if (m_teams.size() < m_activeTeams + IdleTeamsKept || now - m_droppedAt < DropInterval) {
         return;
     }
-    std::erase_if(m_teams, [this](const auto &entry) {
-        return !entry.second->active && entry.second->virtualTime <= m_virtualTime;
+    m_droppedAt = now;
+    std::erase_if(m_teams, [&](const auto &entry) {
+        const Team &team = *entry.second;
+        return !team.active && (team.virtualTime <= m_virtualTime || now - team.lastStart > DebtLifetime);
     });
 }
 
--- a/src/detail/fairqueue.h
+++ b/src/detail/fairqueue.h
@@ -76,6 +76,7 @@
     std::array<SlotTimeAverage, 2> slotTime; ///< by class
     std::array<OverloadDetector, 2> overload; ///< by class
     bool active = false; ///< has waiting or started items
+    TimePoint lastStart;
 
     std::size_t queued() const
     {
@@ -116,8 +117,8 @@
     Team *mostQueued();
     /// True if the team holds its weighted share, or more, of a queue of this length.
     bool overQueueShare(const Team &team, std::size_t queueLimit) const;
-    /// Forgets teams that have neither work nor a debt of slot time.
-    void dropIdle();
+    /// Forgets teams that have neither work nor a recent debt of slot time.
+    void dropIdle(TimePoint now);
 
     std::size_t size() const
     {
@@ -153,6 +154,7 @@
     double m_virtualTime = 0;
     double m_activeWeight = 0;
     std::size_t m_activeTeams = 0;
+    TimePoint m_droppedAt;
     std::uint64_t m_nextNumber = 0;
 };
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -141,8 +141,11 @@
 /// With a full queue, a team below its share of it takes the place of the item due last of the team that is most over.
 bool Dispatcher::Private::makeRoom(const detail::Team &team, TimePoint now, Decisions &decisions)
 {
-    detail::Team *most = m_queue.mostQueued();
-    if (!most || most == &team || m_queue.overQueueShare(team, m_queueLimit)) {
+    if (m_queue.overQueueShare(team, m_queueLimit)) {
+        return false;
+    }
+    const detail::Team *most = m_queue.mostQueued();
+    if (!most || most == &team) {
         return false;
     }
     const auto &longQueue = most->queues[index(WorkClass::Long)];
@@ -228,7 +231,7 @@
     refuseExpired(now, decisions);
     startWaiting(now, decisions);
     refuseSurplus(now, decisions);
-    m_queue.dropIdle();
+    m_queue.dropIdle(now);
     return decisions;
 }
 
--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -242,6 +242,42 @@
     BOOST_TEST(dispatcher.dump().longRunning == 0);
 }
 
+// Guards against long items that were queued as short ones before their route was learned.
+BOOST_AUTO_TEST_CASE(queuedItemsFollowTheLearnedClass)
+{
+    auto dispatcher = Dispatcher::Builder().build();
+    dispatcher.setUpstreams(pool(1, 4), at(0));
+    teach(dispatcher, shortItem(0, 1000), 10, 20);
+    auto slow = shortItem(0, 100'000);
+    slow.route = "/report";
+    for (slow.ticket = 0; slow.ticket < 8; ++slow.ticket) {
+        dispatcher.submit(slow, at(0));
+    }
+    dispatcher.poll(at(101));
+    BOOST_TEST(dispatcher.dump().longRunning == 4);
+    for (std::uint64_t n = 0; n < 4; ++n) {
+        dispatcher.finish(n, done(1000), at(1000));
+    }
+    BOOST_TEST(dispatcher.dump().longRunning == 2);
+    BOOST_TEST(dispatcher.load().freeSlots == 2);
+}
+
+// Guards against the memory of teams growing with the names that callers send.
+BOOST_AUTO_TEST_CASE(idleTeamsAreForgotten)
+{
+    auto dispatcher = Dispatcher::Builder().queueLimit(1'000'000).build();
+    dispatcher.setUpstreams(pool(1, 4), at(0));
+    for (int n = 0; n < 20'000; ++n) {
+        const auto ticket = std::uint64_t(n);
+        dispatcher.submit(shortItem(ticket, n + 1000, "team" + std::to_string(n)), at(n));
+        dispatcher.finish(ticket, done(1), at(n + 1));
+        dispatcher.poll(at(n + 1));
+        if (n % 5'000 == 4'999) {
+            BOOST_TEST(dispatcher.dump().teamsKnown < 4'000U);
+        }
+    }
+}
+
 // Guards against a general slowdown that turns every route into long work and leaves most slots idle afterwards.
 BOOST_AUTO_TEST_CASE(generalSlowdownDoesNotMakeAllWorkLong)
 {
@@ -339,9 +375,14 @@
 {
 public:
     explicit Model(LongPlacement placement)
-        : m_dispatcher(Dispatcher::Builder().queueLimit(12).longPlacement(placement).teamShares({{"t1", 2}}).build())
+        : m_dispatcher(Dispatcher::Builder()
+                           .queueLimit(12)
+                           .longPlacement(placement)
+                           .teamShares({{"t1", 2}})
+                           .admissionHook([this](const UpstreamId &id, TimePoint) { return m_admissions[id]; })
+                           .build())
     {
-        resize(5);
+        resize(5 + 16 * 3);
     }
 
     void apply(const Operation &operation)
@@ -361,7 +402,7 @@
             take(m_dispatcher.poll(at(m_now)));
             break;
         case 4:
-            resize(operation.choice % 16);
+            resize(operation.choice);
             break;
         default:
             submit(operation);
@@ -424,7 +465,8 @@
         std::vector<UpstreamCapacity> pool;
         for (int n = 1; n <= 3; ++n) {
             if (bits >> n & 1) {
-                m_slots[upstream(n)] = unsigned(n);
+                m_admissions[upstream(n)] = {bits >> 4, bits >> n & 1};
+                m_slots[upstream(n)] = std::min(unsigned(n), bits >> 4);
                 pool.push_back({upstream(n), unsigned(n)});
             }
         }
@@ -445,6 +487,7 @@
         }
     }
 
+    std::map<UpstreamId, Admission> m_admissions;
     Dispatcher m_dispatcher;
     int m_now = 0;
     std::uint64_t m_next = 0;
