--- a/include/laburnumspar/dispatcher.h
+++ b/include/laburnumspar/dispatcher.h
@@ -100,8 +100,8 @@
 struct RouteDump {
     std::string route;
     std::optional<WorkClass> learned; ///< empty: as declared
-    Microseconds mean{0};
-    Microseconds deviation{0};
+    Microseconds usual{0}; ///< geometric mean
+    Microseconds upper{0}; ///< seldom exceeded; the time left for execution when requests queue
     unsigned samples = 0;
 };
 
@@ -123,6 +123,7 @@
     unsigned longLimit = 0;
     unsigned longRunning = 0;
     std::size_t queued = 0;
+    std::size_t teamsKnown = 0; ///< with or without work
     Microseconds usualShort{0};
     Microseconds usualLong{0};
 };
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -135,13 +135,13 @@
     const auto &runTime = m_estimator.runTime(entry.item.route, entry.workClass);
     const double leftUs = double(microseconds(entry.item.deadline - now).count());
     detail::DrainRate rate = drainRate(*entry.team, entry.workClass, now);
-    rate.runTimeUs = std::min(runTime.upper(), std::max(runTime.mean(), leftUs * (1 - MinWaitShare)));
+    rate.runTimeUs = std::min(runTime.upper(), std::max(runTime.usual(), leftUs * (1 - MinWaitShare)));
     const double ahead = double(queue.countAhead(entry.item.deadline) + 1);
     if (rate.end(ahead * WaitMargin) > entry.item.deadline) {
         return Reason::DeadlineTooShort;
     }
     // An urgent item must not push admitted ones past their deadlines.
-    rate.runTimeUs = runTime.mean();
+    rate.runTimeUs = runTime.usual();
     rate.perItemUs *= InsertMargin;
     return queue.toleratesInsert(entry.item.deadline, rate) ? Reason::None : Reason::DeadlineTooShort;
 }
@@ -149,8 +149,11 @@
 /// With a full queue, a team below its share of it takes the place of the item due last of the team that is most over.
 bool Dispatcher::Private::makeRoom(const detail::Team &team, TimePoint now, Decisions &decisions)
 {
-    detail::Team *most = m_queue.mostQueued();
-    if (!most || most == &team || m_queue.overQueueShare(team, m_queueLimit)) {
+    if (m_queue.overQueueShare(team, m_queueLimit)) {
+        return false;
+    }
+    const detail::Team *most = m_queue.mostQueued();
+    if (!most || most == &team) {
         return false;
     }
     const auto &longQueue = most->queues[index(WorkClass::Long)];
@@ -236,7 +239,7 @@
     refuseExpired(now, decisions);
     startWaiting(now, decisions);
     refuseSurplus(now, decisions);
-    m_queue.dropIdle();
+    m_queue.dropIdle(now);
     return decisions;
 }
 
