--- a/src/detail/fairqueue.cpp
+++ b/src/detail/fairqueue.cpp
@@ -32,19 +32,6 @@
     return std::chrono::duration<double, std::micro>(to - from).count();
 }
 
-// The mean of the slot time covers about this time, but between 16 and 512 items: fewer would be noise in a long queue,
-// more would follow a slowdown too late.
-constexpr double SlotTimeWindowUs = 1'000'000;
-constexpr double MinSlotTimeWeight = 1.0 / 512;
-// A burst that the queue has not worked off after this time is an overload; it is over when the target has not been
-// enforced for as long.
-constexpr Milliseconds LastingOverload{1000};
-
-double microsBetween(TimePoint from, TimePoint to)
-{
-    return std::chrono::duration<double, std::micro>(to - from).count();
-}
-
 std::size_t index(WorkClass workClass)
 {
     return static_cast<std::size_t>(workClass);
--- a/src/net/dump.cpp
+++ b/src/net/dump.cpp
@@ -39,8 +39,8 @@
 {
     return {{"route", route.route},
             {"learned", route.learned ? json::value(name(*route.learned)) : json::value()},
-            {"mean_us", route.mean.count()},
-            {"deviation_us", route.deviation.count()},
+            {"usual_us", route.usual.count()},
+            {"upper_us", route.upper.count()},
             {"samples", route.samples}};
 }
 
