serviceruntime: give up attempts by the judgement on their upstream

Cause: every long request on a route that the settings do not declare as long ended as may-have-run. The fixed limit of eight usual times gave up each attempt and tried the next one, which was given up as well. Ruled out: a larger factor; long work takes a hundred usual times and more. Change: only attempts at an upstream that the judge holds for failing are given up. The class that the dispatcher learned goes into the evidence, and routes that are not configured are learned by their first path segment. Conclusion: time alone is no evidence against an upstream.

--- a/include/laburnumspar/dispatcher.h
+++ b/include/laburnumspar/dispatcher.h
@@ -68,6 +68,7 @@
     std::uint64_t ticket = 0;
     UpstreamId upstream; ///< empty for Refuse
     Reason reason = Reason::None; ///< None for Start
+    WorkClass workClass = WorkClass::Short; ///< as learned
 };
 
 template <>
--- a/src/detail/dispatcherstart.cpp
+++ b/src/detail/dispatcherstart.cpp
@@ -112,7 +112,7 @@
     if (entry.workClass == WorkClass::Short) {
         m_startedShort.emplace(now, entry.item.ticket);
     }
-    note(entry, {Decision::Kind::Start, entry.item.ticket, slot.id, Reason::None}, now, decisions);
+    note(entry, {Decision::Kind::Start, entry.item.ticket, slot.id, Reason::None, entry.workClass}, now, decisions);
 }
 
 void Dispatcher::Private::refuse(Entries::iterator it, Reason reason, TimePoint now, Decisions &decisions)
@@ -120,7 +120,7 @@
     requireInvariant(!it->second.slot, "started work is not refused");
     const Entry &entry = it->second;
     m_queue.erase(*entry.team, entry.workClass, entry.key);
-    note(entry, {Decision::Kind::Refuse, entry.item.ticket, {}, reason}, now, decisions);
+    note(entry, {Decision::Kind::Refuse, entry.item.ticket, {}, reason, entry.workClass}, now, decisions);
     m_entries.erase(it);
 }
 
--- a/src/net/callerapi.cpp
+++ b/src/net/callerapi.cpp
@@ -184,7 +184,7 @@
         deadline = Milliseconds(*value);
     }
     work.deadline = Clock::now() + deadline;
-    work.route = route ? route->prefix : "/";
+    work.route = learningRoute(*settings, work.path);
     work.workClass = route && route->workClass ? *route->workClass : WorkClass::Short;
     work.idempotent = route && route->idempotent;
     if (const auto text = header(request, "Lspar-Idempotent"); !text.empty()) {
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -85,6 +85,14 @@
     return work;
 }
 
+std::string learningRoute(const ServiceSettings &settings, const std::string &path)
+{
+    if (const auto *route = routeFor(settings, path)) {
+        return route->prefix;
+    }
+    return path.substr(0, path.find_first_of("/?", 1));
+}
+
 Router::Router(Context context)
     : m_context(std::move(context))
     , m_loads(LockRank::Links)
@@ -109,6 +117,9 @@
     const auto hop = request.hop;
     auto work = toWork(std::move(request), Clock::now());
     const auto service = work.service;
+    if (const auto settings = m_context.services.settings(service)) {
+        work.route = learningRoute(*settings, work.path);
+    }
     WorkResult result;
     if (hop == HopKind::ToOwner) {
         const auto id = parseRequestId(work.requestId);
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -64,4 +64,7 @@
 ForwardRequest toForward(const Work &work, HopKind hop, TimePoint now);
 Work toWork(ForwardRequest request, TimePoint now);
 
+/// Name under which execution times are learned: the configured route, else the first segment of the path.
+std::string learningRoute(const ServiceSettings &settings, const std::string &path);
+
 } // namespace laburnumspar::detail
--- a/src/net/serviceruntime.cpp
+++ b/src/net/serviceruntime.cpp
@@ -11,9 +11,10 @@
 using std::chrono::duration_cast;
 
 constexpr unsigned MaxAttempts = 3;
-// An idempotent short request is given up on one upstream and tried on another after this many usual times.
-constexpr double AttemptLimitFactor = 8;
-constexpr Milliseconds MinAttemptLimit{100};
+// An idempotent request on an upstream that is judged to fail is tried elsewhere after this many usual times. The time
+// alone says nothing: long work on a route that is not known as long takes that much on a healthy upstream too.
+constexpr double AbandonFactor = 4;
+constexpr Milliseconds MinAbandonTime{60};
 // Work goes only to upstreams whose phase is known to be at most this old: an upstream that is leaving must not get
 // new work 3 s after its first sign, also not from an instance that was paused or partitioned.
 constexpr Milliseconds MaxSignAge{2000};
@@ -97,7 +98,7 @@
             }
             co_return WorkResult{Outcome::NotRun, decision.reason, 0, {}, {}, {}, {}};
         }
-        auto result = co_await attempt(work, ticket, decision.upstream, cancellation);
+        auto result = co_await attempt(work, decision, cancellation);
         if (earlier && earlier->outcome == Outcome::MayHaveRun && result.outcome == Outcome::NotRun) {
             result.outcome = Outcome::MayHaveRun;
         }
@@ -129,22 +130,23 @@
     co_return co_await decided.wait();
 }
 
-awaitable<WorkResult>
-ServiceRuntime::attempt(const Work &work, std::uint64_t ticket, UpstreamId upstream, CancellationPtr cancellation)
+awaitable<WorkResult> ServiceRuntime::attempt(const Work &work, Decision start, CancellationPtr cancellation)
 {
     const auto sentAt = Clock::now();
     // The decision may be old: this process can have been paused since.
     if (sentAt >= work.deadline) {
-        release(ticket, Reason::DeadlinePassed);
-        co_return WorkResult{Outcome::NotRun, Reason::DeadlinePassed, 0, {}, {}, upstream, {}};
+        release(start.ticket, Reason::DeadlinePassed);
+        co_return WorkResult{Outcome::NotRun, Reason::DeadlinePassed, 0, {}, {}, start.upstream, {}};
     }
+    auto own = std::make_shared<Cancellation>();
+    CancellationScope scope(cancellation, [own] { own->cancel(); });
     const bool allowed = m_table.with([&](Table &table) {
-        table.attempts[ticket] = {upstream, work.workClass, sentAt};
-        return admission(table, upstream, sentAt).slots > 0;
+        table.attempts[start.ticket] = {start.upstream, start.workClass, sentAt, work.idempotent ? own : nullptr};
+        return admission(table, start.upstream, sentAt).slots > 0;
     });
     if (!allowed) {
-        release(ticket, Reason::Leaving);
-        co_return WorkResult{Outcome::NotRun, Reason::Leaving, 0, {}, {}, upstream, {}};
+        release(start.ticket, Reason::Leaving);
+        co_return WorkResult{Outcome::NotRun, Reason::Leaving, 0, {}, {}, start.upstream, {}};
     }
     m_started.add();
     UpstreamRequest request{work.method,
@@ -154,10 +156,14 @@
                             work.contentType,
                             work.body,
                             duration_cast<Milliseconds>(work.deadline - sentAt)};
-    const auto limit = attemptDeadline(work, sentAt);
-    auto result = co_await m_context.client.call(upstream, std::move(request), maxConnections(), limit, cancellation);
-    recordAttempt(work, ticket, result, sentAt);
-    WorkResult outcome{result.outcome, result.reason, 0, {}, {}, upstream, {}};
+    auto result
+        = co_await m_context.client.call(start.upstream, std::move(request), maxConnections(), work.deadline, own);
+    const bool abandoned = result.reason == Reason::Cancelled && !(cancellation && cancellation->isCancelled());
+    if (abandoned) {
+        result.reason = Reason::Timeout;
+    }
+    recordAttempt(start, result, sentAt);
+    WorkResult outcome{result.outcome, result.reason, 0, {}, {}, start.upstream, {}};
     if (result.outcome == Outcome::Answered) {
         outcome.status = result.answer.status;
         outcome.contentType = std::move(result.answer.contentType);
@@ -166,40 +172,24 @@
     co_return outcome;
 }
 
-TimePoint ServiceRuntime::attemptDeadline(const Work &work, TimePoint now)
-{
-    if (!work.idempotent || work.workClass == WorkClass::Long) {
-        return work.deadline;
-    }
-    const double usualUs = m_table.with([](Table &table) { return table.usualShortUs; });
-    const auto limit
-        = std::max<Clock::duration>(MinAttemptLimit, Microseconds(std::llround(usualUs * AttemptLimitFactor)));
-    // Without a measured time there is nothing to compare with.
-    return usualUs > 0 ? std::min(work.deadline, now + limit) : work.deadline;
-}
-
-void ServiceRuntime::recordAttempt(const Work &work,
-                                   std::uint64_t ticket,
-                                   const AttemptResult &result,
-                                   TimePoint sentAt)
+void ServiceRuntime::recordAttempt(const Decision &start, const AttemptResult &result, TimePoint sentAt)
 {
     const auto now = Clock::now();
     const auto runTime = duration_cast<Microseconds>(now - sentAt);
     m_attemptTime.record(std::chrono::duration<double>(runTime).count(), now);
     const auto decisions = m_table.with([&](Table &table) {
-        const auto entry = table.attempts.extract(ticket);
-        const auto &upstream = entry.mapped().upstream;
+        table.attempts.erase(start.ticket);
         if (const auto kind = evidenceOf(result)) {
-            table.judge->record({upstream, *kind, work.workClass, runTime, sentAt, now, ticket});
+            table.judge->record({start.upstream, *kind, start.workClass, runTime, sentAt, now, start.ticket});
         }
-        if (result.reason == Reason::None && work.workClass == WorkClass::Short) {
+        if (result.reason == Reason::None && start.workClass == WorkClass::Short) {
             auto &usual = table.usualShortUs;
             usual = usual == 0 ? runTime.count() : usual + UsualWeight * (runTime.count() - usual);
         }
-        notePhase(table, upstream, result.answer, now);
+        notePhase(table, start.upstream, result.answer, now);
         Completion completion{runTime, result.outcome, result.reason, std::nullopt};
         completion.reportedInFlight = result.answer.inFlight;
-        return table.dispatcher->finish(ticket, completion, now);
+        return table.dispatcher->finish(start.ticket, completion, now);
     });
     carryOut(decisions);
 }
@@ -315,16 +305,20 @@
 {
     std::vector<HealthChange> changes;
     std::vector<UpstreamId> probes;
+    std::vector<CancellationPtr> abandoned;
     const auto decisions = m_table.with([&](Table &table) {
         if (now - table.evaluatedAt >= EvaluationInterval) {
             table.evaluatedAt = now;
-            recordOverdue(table, now);
+            abandoned = recordOverdue(table, now);
             changes = table.judge->evaluate(now);
         }
         probes = dueProbes(table, now);
         return table.dispatcher->poll(now);
     });
     carryOut(decisions);
+    for (const auto &attempt : abandoned) {
+        attempt->cancel();
+    }
     for (const auto &change : changes) {
         logEvent(LogLevel::Info,
                  "upstream.health",
@@ -339,15 +333,24 @@
     }
 }
 
-void ServiceRuntime::recordOverdue(Table &table, TimePoint now)
+std::vector<CancellationPtr> ServiceRuntime::recordOverdue(Table &table, TimePoint now)
 {
-    for (const auto &[ticket, attempt] : table.attempts) {
+    std::vector<CancellationPtr> abandoned;
+    const auto limit
+        = std::max<Clock::duration>(MinAbandonTime, Microseconds(std::llround(table.usualShortUs * AbandonFactor)));
+    for (auto &[ticket, attempt] : table.attempts) {
         const auto runTime = duration_cast<Microseconds>(now - attempt.sentAt);
         if (runTime >= table.judge->overdueAfter(attempt.workClass)) {
             table.judge->record(
                 {attempt.upstream, EvidenceKind::Overdue, attempt.workClass, runTime, attempt.sentAt, now, ticket});
         }
+        const auto state = table.judge->state(attempt.upstream);
+        const bool failing = state == HealthState::Suspect || state == HealthState::Ejected;
+        if (failing && attempt.abandon && attempt.workClass == WorkClass::Short && runTime > limit) {
+            abandoned.push_back(std::exchange(attempt.abandon, nullptr));
+        }
     }
+    return abandoned;
 }
 
 std::vector<UpstreamId> ServiceRuntime::dueProbes(Table &table, TimePoint now)
--- a/src/net/serviceruntime.h
+++ b/src/net/serviceruntime.h
@@ -75,6 +75,7 @@
         UpstreamId upstream;
         WorkClass workClass = WorkClass::Short;
         TimePoint sentAt;
+        CancellationPtr abandon; ///< set where the attempt may be given up and tried elsewhere
     };
     /// What an upstream last said of itself.
     struct Sign {
@@ -99,14 +100,14 @@
     Admission admission(Table &table, const UpstreamId &upstream, TimePoint now) const;
     awaitable<Decision>
     admit(const Work &work, std::uint64_t ticket, std::vector<UpstreamId> exclude, CancellationPtr c);
-    awaitable<WorkResult> attempt(const Work &work, std::uint64_t ticket, UpstreamId upstream, CancellationPtr c);
+    awaitable<WorkResult> attempt(const Work &work, Decision start, CancellationPtr c);
     bool mayRetry(const Work &work, const WorkResult &result, unsigned attempts, CancellationPtr c);
-    TimePoint attemptDeadline(const Work &work, TimePoint now);
-    void recordAttempt(const Work &work, std::uint64_t ticket, const AttemptResult &result, TimePoint sentAt);
+    void recordAttempt(const Decision &start, const AttemptResult &result, TimePoint sentAt);
     void notePhase(Table &table, const UpstreamId &upstream, const UpstreamAnswer &answer, TimePoint now);
     void carryOut(const std::vector<Decision> &decisions);
     void release(std::uint64_t ticket, Reason reason);
-    void recordOverdue(Table &table, TimePoint now);
+    /// Returns the attempts to give up.
+    std::vector<CancellationPtr> recordOverdue(Table &table, TimePoint now);
     std::vector<UpstreamId> dueProbes(Table &table, TimePoint now);
     awaitable<void> probe(UpstreamId upstream);
     unsigned maxConnections() const;
