health: do not let probes excuse an upstream that answers no work

Cause: probes are also sent to upstreams that are not ejected, to learn their phase. Each answered probe ended the silence of an upstream, and with all slots stuck nothing else can confirm a suspicion, so it was never ejected. Ruled out: ignoring such probes altogether, since they do show that the path is good and the upstream not unreachable. Change: silence counts answers to work only; an upstream is unreachable, and counts for a fault of the own network, only if probes are not answered either. Conclusion: a black hole with a good health endpoint is ejected.

--- a/src/detail/healthdecider.cpp
+++ b/src/detail/healthdecider.cpp
@@ -170,7 +170,7 @@
 
 void HealthDecider::updateUnreachable(UpstreamRecord &record, TimePoint now) const
 {
-    if (!m_ownNetworkFault && record.silentCount >= UnreachableAttempts
+    if (!m_ownNetworkFault && record.silent() && record.silentCount >= UnreachableAttempts
         && now - record.silentSince >= UnreachableTime) {
         record.unreachable = true;
     }
@@ -259,7 +259,8 @@
     for (std::size_t n = 0; n < m_owned.size(); ++n) {
         auto &record = *m_owned[n];
         // Answers that show a failure need no time to confirm; silence may still be a short stop or a restart.
-        const bool failing = std::max(record.suspicion.failure, record.wrongScore()) >= EjectScore && !record.silent();
+        const bool failing
+            = std::max(record.suspicion.failure, record.wrongScore()) >= EjectScore && record.silentCount == 0;
         if (record.state == HealthState::Suspect && record.score() >= EjectScore
             && (failing || now - record.since >= SuspectTime) && confirmed(n, now)) {
             candidates.push_back(&record);
--- a/src/detail/upstreamrecord.cpp
+++ b/src/detail/upstreamrecord.cpp
@@ -31,7 +31,6 @@
     case EvidenceKind::Truncated:
     case EvidenceKind::Wrong:
     case EvidenceKind::Shed:
-    case EvidenceKind::ProbeOk:
         return true;
     default:
         return false;
@@ -89,7 +88,11 @@
 
 void UpstreamRecord::noteAnswer(const Evidence &evidence, bool newAttempt)
 {
-    if (isAnswer(evidence.kind)) {
+    if (evidence.kind == EvidenceKind::ProbeOk) {
+        // The path is good, which says nothing about the work.
+        lastProbeOk = evidence.at;
+        unreachable = false;
+    } else if (isAnswer(evidence.kind)) {
         silentCount = 0;
         unreachable = false;
     } else if (newAttempt && evidence.kind != EvidenceKind::ProbeFailed) {
--- a/src/detail/upstreamrecord.h
+++ b/src/detail/upstreamrecord.h
@@ -45,9 +45,10 @@
     bool usable() const;
     double wrongScore() const;
     double score() const;
+    /// Neither work nor a probe has been answered since work was first left without an answer.
     bool silent() const
     {
-        return silentCount > 0;
+        return silentCount > 0 && (!lastProbeOk || *lastProbeOk < silentSince);
     }
 
     PoolMember member;
@@ -66,8 +67,9 @@
     TimePoint excludedUntil;
     double ejectionScore = 0;
     TimePoint nextProbe;
-    unsigned silentCount = 0; ///< attempts without any answer since the last answer
+    unsigned silentCount = 0; ///< attempts without any answer since the last answer to work
     TimePoint silentSince;
+    std::optional<TimePoint> lastProbeOk;
     bool unreachable = false;
     bool floorBinding = false;
     bool failureBurst = false; ///< several failures in a row that evaluate() has not judged yet
--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -284,6 +284,23 @@
     BOOST_TEST(pool.judge.unreachable().empty());
 }
 
+// Guards against a health endpoint that vouches for an upstream which answers no work: it is ejected all the same, but
+// by no means unreachable.
+BOOST_AUTO_TEST_CASE(probesDoNotExcuseSilence)
+{
+    Pool pool(6);
+    pool.warmUp();
+    for (int n = 0; n < 6; ++n) {
+        pool.add(0, EvidenceKind::Overdue, 1s);
+    }
+    for (int n = 0; n < 10; ++n) {
+        pool.judge.record({upstream(0), EvidenceKind::ProbeOk, WorkClass::Short, 25ms, pool.now, pool.now, 0});
+        pool.run(50ms, [](unsigned it) { return it == 0 ? std::nullopt : std::optional(EvidenceKind::Success); });
+    }
+    BOOST_CHECK(pool.state(0) == HealthState::Ejected);
+    BOOST_TEST(pool.judge.unreachable().empty());
+}
+
 // Guards against counting one attempt twice, as Overdue and again when it ends.
 BOOST_AUTO_TEST_CASE(anAttemptCountsOnce)
 {
