--- a/src/detail/memberlist.cpp
+++ b/src/detail/memberlist.cpp
@@ -54,7 +54,8 @@
 
 Milliseconds MemberList::directWindow() const
 {
-    const auto rounds = static_cast<double>((m_liveCount + Fanout - 1) / Fanout) * RoundsPerWindow;
+    const auto periodsPerRound = (m_liveCount + Fanout - 1) / Fanout;
+    const auto rounds = static_cast<double>(periodsPerRound) * RoundsPerWindow;
     return std::max(MinDirectWindow, std::chrono::duration_cast<Milliseconds>(m_period * rounds));
 }
 
