dispatcher: shorten the queue with many teams, too

Cause: new scenarios of bench_dispatcher (a surge of undeclared long work, the loss of half of the upstreams at overload, 300 teams at overload) missed one bound: every team could keep four items waiting in a lasting overload, so 300 teams filled the queue, and refusals came late. Ruled out: one target for all teams together, since the surge of one team would then have the requests of the others refused. Change: a team may always have one item waiting instead of four.

--- a/bench/bench_dispatcher.cpp
+++ b/bench/bench_dispatcher.cpp
@@ -237,6 +237,56 @@
                 team.quantileMs(0.99));
 }
 
+/// As runSurge, but team a sends long work that is not declared.
+void runLongSurge(const PoolSize &pool, const Setup &setup)
+{
+    Scenario scenario = makeScenario("long surge of another team", pool, 4, 20);
+    Stream steady = shortStream(rate(pool, 0.4, ShortMs * (1 + scenario.interference)), 0, 20);
+    steady.team = "b";
+    Stream surge = longStream(rate(pool, 5, LongMs), 2, 20);
+    surge.declared = WorkClass::Short;
+    scenario.streams = {steady, surge};
+    const Result result = simulate(scenario, setup);
+    print(scenario, setup, result, passes(result.streams[0].goodShare() >= MinSteadyTeamShare));
+}
+
+/// Half of the upstreams are lost at 5 times overload. Goodput is relative to all slots.
+void runLoss(const PoolSize &pool, const Setup &setup)
+{
+    Scenario scenario = makeScenario("5x, half lost", pool, 5, 8);
+    scenario.lossAt = 5;
+    scenario.streams = {shortStream(rate(pool, 0.5, ShortMs), 0, 2), shortStream(rate(pool, 5, ShortMs), 2, 8)};
+    const Result result = simulate(scenario, setup);
+    const int lost = pool.upstreams / 2;
+    const double left = double(pool.upstreams - lost) / pool.upstreams;
+    print(scenario,
+          setup,
+          result,
+          passes(result.goodput >= MinGoodput * left && result.refusalQuantileMs(0.99) < MaxRefusalMs));
+}
+
+/// 5 times overload by 300 teams with equal weights; each must get its share, give or take the randomness of arrivals.
+void runManyTeams(const PoolSize &pool, const Setup &setup)
+{
+    constexpr int Teams = 300;
+    Scenario scenario = makeScenario("5x, 300 teams", pool, 2, 8);
+    for (int n = 0; n < Teams; ++n) {
+        // Every third team asks for four times as much as the others.
+        Stream stream = shortStream(rate(pool, 5, ShortMs) / Teams * (n % 3 == 0 ? 2 : 0.5), 0, 8);
+        stream.team = "team" + std::to_string(n);
+        scenario.streams.push_back(stream);
+    }
+    const Result result = simulate(scenario, setup);
+    std::uint64_t heavy = 0;
+    std::uint64_t light = 0;
+    for (int n = 0; n < Teams; ++n) {
+        (n % 3 == 0 ? heavy : light) += result.streams[std::size_t(n)].good;
+    }
+    print(
+        scenario, setup, result, passes(result.goodput >= MinGoodput && result.refusalQuantileMs(0.99) < MaxRefusalMs));
+    std::printf("     requests served, a heavy team / a light one: %.2f\n", 2 * double(heavy) / double(light));
+}
+
 void runAll(const PoolSize &pool, Setup setup)
 {
     setup.placement = LongPlacement::SharePerUpstream;
@@ -244,6 +294,9 @@
     runUneven(pool, setup);
     runStuck(pool, setup);
     runSurge(pool, setup);
+    runLongSurge(pool, setup);
+    runLoss(pool, setup);
+    runManyTeams(pool, setup);
     for (const Overload &overload : Overloads) {
         runOverload(pool, setup, overload);
     }
--- a/bench/dispatchersimulation.cpp
+++ b/bench/dispatchersimulation.cpp
@@ -74,6 +74,7 @@
     void count(const Request &request, std::uint64_t Tally::*counter);
     double drawRunMs(const Stream &stream);
     double slowdown(const UpstreamId &upstream) const;
+    Admission admission(const UpstreamId &upstream, TimePoint now) const;
     bool measuring(TimePoint at) const;
 
     template <typename Function>
@@ -109,6 +110,7 @@
                        .policy(setup.policy)
                        .longPlacement(setup.placement)
                        .longShare(scenario.longShare)
+                       .admissionHook([this](const UpstreamId &id, TimePoint now) { return admission(id, now); })
                        .queueLimit(scenario.queueLimit)
                        .seed(setup.seed)
                        .build())
@@ -263,6 +265,13 @@
     return m_slow.count(upstream) == 0 ? interference : interference * m_scenario.slowUpstreamFactor;
 }
 
+Admission Simulation::admission(const UpstreamId &upstream, TimePoint now) const
+{
+    // The last digits of the addresses run from 1.
+    const bool lost = now >= atSecond(m_scenario.lossAt) && (upstream.ip.back() - '0') * 2 <= m_scenario.upstreams;
+    return {lost ? 0 : m_scenario.slots, 0};
+}
+
 bool Simulation::measuring(TimePoint at) const
 {
     return at >= atSecond(m_scenario.measureFrom) && at < atSecond(m_scenario.measureTo);
--- a/bench/dispatchersimulation.h
+++ b/bench/dispatchersimulation.h
@@ -34,6 +34,7 @@
     double interference = 0.3; ///< an execution takes this part longer on an upstream whose other slots are all busy
     unsigned slowUpstreams = 0; ///< the first ones, by id
     double slowUpstreamFactor = 3;
+    double lossAt = 1e9; ///< from this second on, half of the upstreams take no new work
     double longShare = 0.5;
     unsigned queueLimit = 1000;
 };
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -17,7 +17,8 @@
 // enough to keep the slots busy between two arrivals.
 constexpr double TargetWaitUs = 25'000;
 constexpr double TargetWaitExecutions = 4;
-constexpr std::size_t TargetWaitItems = 4;
+// A team with a small share may always have this many items waiting, however long they take.
+constexpr std::size_t MinWaitItems = 1;
 // Of a deadline that is short against the execution time, waiting may still use this share.
 constexpr double MinWaitShare = 0.3;
 
@@ -117,7 +118,7 @@
 {
     const std::size_t waiting = team.queues[index(workClass)].size();
     const double targetUs = std::max(TargetWaitUs, TargetWaitExecutions * m_queue.slotTime(team, workClass));
-    return waiting >= TargetWaitItems && double(waiting) * drainRate(team, workClass, now).perItemUs > targetUs;
+    return waiting >= MinWaitItems && double(waiting) * drainRate(team, workClass, now).perItemUs > targetUs;
 }
 
 /// Estimates the wait behind the items of the same team and class that are due earlier.
