membership: count a pause once when a late tick notices it first

Cause: after a pause the heartbeat loop may run before the loop that reports the pause; the few milliseconds between counted as a second pause and delayed the trust in the view. Ruled out: ignoring every short pause; a caller may report one on purpose. Change: a report that overlaps a noted pause is ignored when what remains is shorter than the pause threshold. Conclusion: the order of the two loops no longer matters.

--- a/src/detail/membershipcore.cpp
+++ b/src/detail/membershipcore.cpp
@@ -43,8 +43,10 @@
 
 void MembershipCore::notePause(TimePoint from, TimePoint to)
 {
+    // The caller and a late tick notice the same pause at slightly different times.
+    const bool overlaps = from < m_pauseNotedTo;
     from = std::max(from, m_pauseNotedTo);
-    if (from >= to) {
+    if (from >= to || (overlaps && to - from < PauseThreshold)) {
         return;
     }
     m_list.shift(from, to);
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -127,6 +127,11 @@
     BOOST_TEST(net.at(0).counters().pauses == 1U);
     BOOST_TEST((net.at(0).member(net[1].id, from + 8s)->state == MemberState::Alive));
     BOOST_TEST(!net.at(0).viewTrusted(from + 8s));
+    net.at(1).tick(from + 8s); // the late tick comes first
+    net.at(1).noteOwnPause(from, from + 8s + 20ms);
+    BOOST_TEST(net.at(1).counters().pauses == 1U);
+    net.at(1).noteOwnPause(from + 8s, from + 12s);
+    BOOST_TEST(net.at(1).counters().pauses == 2U);
 }
 
 // Guards against a restarted member that is taken for its former process.
