settingsstore: pass on rejected values, and limit isolated instances

Cause: only the instances that read the platform could show why a change had been rejected. An instance that reached no other one dispatched with all slots of every upstream, beside the dispatchers on the other side of the partition. Ruled out: passing on the reason alone; instances of another release could disagree with it, so each one validates the text itself. Change: rejected texts travel under a path of their own. An isolated instance that knows other members sends at most one request at a time to an upstream. The check digest().size() == 1 in firstTeamKeepsTheServiceName was wrong for the new digest, and is replaced by one of its exact content.

--- a/include/laburnumspar/settingsstore.h
+++ b/include/laburnumspar/settingsstore.h
@@ -51,6 +51,9 @@
     bool operator==(const SettingsRecord &) const = default;
 };
 
+/// Path under which the rejected value of `path` travels between instances, so that every one of them can show it.
+std::string rejectedPath(std::string_view path);
+
 /// Service settings and instance lists in effect, by path, with the versions that the platform assigned (from 1).
 /// The state depends on the set of offers only, not on their order. Not thread-safe.
 class SettingsStore
@@ -61,7 +64,7 @@
     /// team that comes first in byte order keeps it, and the values of the others are rejected.
     OfferResult offer(const std::string &path, std::uint64_t version, const std::string &text);
 
-    /// Accepted versions, by path.
+    /// Accepted versions, by path, and under rejectedPath() the rejected ones above them.
     std::vector<SettingsVersion> digest() const;
     /// settingsHash() of the digest; kept until the next change.
     std::uint64_t digestHash() const;
@@ -69,7 +72,7 @@
     std::vector<SettingsVersion> missing(const std::vector<SettingsVersion> &digest) const;
     /// Entries of this store that are newer than, or missing from, the digest of a peer.
     std::vector<SettingsVersion> newerThan(const std::vector<SettingsVersion> &digest) const;
-    /// Accepted value; empty if there is none.
+    /// Accepted value, or the rejected one for a rejectedPath(); empty if there is none.
     std::optional<AcceptedValue> value(const std::string &path) const;
     /// Every path that was offered, also those that only had rejected values.
     std::vector<SettingsRecord> dump() const;
@@ -93,6 +96,7 @@
         std::string text;
         Parsed parsed;
         std::uint64_t invalidVersion = 0; ///< highest invalid version
+        std::string invalidText;
         std::string invalidReason;
         bool effective = false; ///< has a valid version, and no team with a better claim to the service
     };
@@ -100,7 +104,9 @@
     static Parsed parse(const std::string &path, const std::string &text);
     /// Marks which of the teams that define a service has it.
     void claim(const ServicePath &owner);
-    OfferResult reject(Entry &entry, std::uint64_t version, const std::string &reason);
+    OfferResult reject(Entry &entry, std::uint64_t version, const std::string &text, const std::string &reason);
+    /// Version to show under rejectedPath(); 0 if nothing above the accepted one was refused.
+    static std::uint64_t refusedVersion(const Entry &entry);
     /// Why the valid value at a service path is not in effect.
     std::string conflict(const std::string &path) const;
     SettingsRecord record(const std::string &path, const Entry &entry) const;
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -275,18 +275,18 @@
 
 void Instance::Private::refresh(TimePoint now)
 {
-    // A copy, since the settings lock comes before the membership lock and neither is held across the work below.
-    const auto store = m_store.with([](SettingsStore &current) { return current; });
-    const auto entries = store.entries();
+    const auto [entries, versions]
+        = m_store.with([](SettingsStore &store) { return std::pair(store.entries(), store.digest()); });
     auto loads = m_services.loads();
     auto unreachable = m_services.unreachable();
     const auto members = m_membership.with([&](Membership &membership) {
         membership.hint(*entries, now);
         membership.publish(std::move(loads), std::move(unreachable));
-        membership.publishSettings(store.digest());
+        membership.publishSettings(versions);
         return membership.view(now);
     });
-    m_services.refresh(store, members, now);
+    const bool isolated = m_membership.with([&](Membership &membership) { return membership.alone(now); });
+    m_store.with([&](SettingsStore &store) { m_services.refresh(store, members, isolated, now); });
     for (const auto &member : members) {
         for (const auto &load : member.loads) {
             if (member.id != settings.peers) {
@@ -310,7 +310,7 @@
     if (m_state != RunState::Starting || now - m_startedAt < JoinTime) {
         return;
     }
-    const auto own = settingsHash(m_sync.known().known);
+    const auto own = m_store.with([](SettingsStore &store) { return store.digestHash(); });
     bool matched = false;
     for (const auto &member : members) {
         if (member.id != settings.peers && member.bidirectional) {
--- a/src/net/serviceruntime.cpp
+++ b/src/net/serviceruntime.cpp
@@ -254,7 +254,17 @@
     if (sign == table.signs.end() || sign->second.draining || now - sign->second.seenAt > MaxSignAge) {
         return {0, 0};
     }
-    return table.judge->admission(upstream, now);
+    auto admission = table.judge->admission(upstream, now);
+    admission.slots = table.reserve ? std::min(admission.slots, 1U) : admission.slots;
+    return admission;
+}
+
+void ServiceRuntime::setReserve(bool reserve)
+{
+    const bool changed = m_table.with([&](Table &table) { return std::exchange(table.reserve, reserve) != reserve; });
+    if (changed) {
+        logEvent(LogLevel::Warning, reserve ? "service.isolated" : "service.rejoined", {{"service", m_service}});
+    }
 }
 
 std::shared_ptr<const ServiceSettings> ServiceRuntime::settings() const
--- a/src/net/serviceruntime.h
+++ b/src/net/serviceruntime.h
@@ -55,6 +55,8 @@
 
     /// Takes over the upstreams of the service; `owned` are those that this instance dispatches.
     void setUpstreams(const std::vector<UpstreamEntry> &all, const std::vector<UpstreamId> &owned, TimePoint now);
+    /// Whether each upstream gets at most one request at a time from here.
+    void setReserve(bool reserve);
     /// Applies what time changes; to be called every 10 ms or so.
     void tick(TimePoint now);
     /// This process did not run between the two times.
@@ -95,6 +97,7 @@
         std::uint64_t nextTicket = 1;
         double usualShortUs = 0; ///< of successful short attempts; 0 without any
         TimePoint evaluatedAt;
+        bool reserve = false;
     };
 
     Admission admission(Table &table, const UpstreamId &upstream, TimePoint now) const;
--- a/src/net/servicetable.cpp
+++ b/src/net/servicetable.cpp
@@ -26,12 +26,15 @@
 {
 }
 
-void ServiceTable::refresh(const SettingsStore &store, const std::vector<MemberView> &members, TimePoint now)
+void ServiceTable::refresh(const SettingsStore &store,
+                           const std::vector<MemberView> &members,
+                           bool isolated,
+                           TimePoint now)
 {
     const auto previous = snapshot();
     auto next = std::make_shared<Snapshot>();
     for (const auto &service : store.services()) {
-        next->entries[service] = makeEntry(service, store, members, *previous, now);
+        next->entries[service] = makeEntry(service, store, members, *previous, isolated, now);
     }
     for (const auto &member : members) {
         if (member.state == MemberState::Alive && !member.callerAddress.ip.empty()) {
@@ -46,6 +49,7 @@
                                             const SettingsStore &store,
                                             const std::vector<MemberView> &members,
                                             const Snapshot &previous,
+                                            bool isolated,
                                             TimePoint now)
 {
     Entry entry;
@@ -77,6 +81,9 @@
         }
     }
     entry.dispatchesHere = !owned.empty();
+    // The members on the other side of a partition dispatch to the same upstreams.
+    const bool othersMayDispatch = isolated && members.size() > 1;
+    entry.runtime->setReserve(othersMayDispatch && settings->policy != LocalPolicy);
     entry.runtime->setUpstreams(*upstreams, owned, now);
     return entry;
 }
--- a/src/net/servicetable.h
+++ b/src/net/servicetable.h
@@ -13,8 +13,8 @@
 public:
     ServiceTable(InstanceId self, ServiceRuntime::Context context);
 
-    /// Takes over settings, upstream lists and members.
-    void refresh(const SettingsStore &store, const std::vector<MemberView> &members, TimePoint now);
+    /// Takes over settings, upstream lists and members. `isolated`: no other member can be reached.
+    void refresh(const SettingsStore &store, const std::vector<MemberView> &members, bool isolated, TimePoint now);
     void tick(TimePoint now);
     void notePause(TimePoint from, TimePoint to);
 
@@ -49,6 +49,7 @@
                     const SettingsStore &store,
                     const std::vector<MemberView> &members,
                     const Snapshot &previous,
+                    bool isolated,
                     TimePoint now);
     std::shared_ptr<const Snapshot> snapshot() const;
 
--- a/src/net/settingssync.cpp
+++ b/src/net/settingssync.cpp
@@ -73,17 +73,12 @@
 
 std::vector<SettingsValue> SettingsSync::answer(const SettingsPull &pull) const
 {
-    std::map<std::string, std::uint64_t> known;
-    for (const auto &entry : pull.known) {
-        known[entry.path] = entry.version;
-    }
     return m_store.with([&](SettingsStore &store) {
         std::vector<SettingsValue> frames(1);
         std::size_t bytes = 0;
-        for (const auto &entry : store.digest()) {
-            const auto it = known.find(entry.path);
+        for (const auto &entry : store.newerThan(pull.known)) {
             const auto value = store.value(entry.path);
-            if (!value || (it != known.end() && it->second >= entry.version)) {
+            if (!value) {
                 continue;
             }
             if (bytes + value->text.size() > MaxTextBytes) {
@@ -100,8 +95,7 @@
 bool SettingsSync::isBehind(const SettingsDigest &digest) const
 {
     return m_store.with([&](SettingsStore &store) {
-        const auto own = store.digest();
-        return settingsHash(own) != digest.hash && (own.empty() || !store.missing(digest.window).empty());
+        return store.digestHash() != digest.hash && (store.digest().empty() || !store.missing(digest.window).empty());
     });
 }
 
--- a/src/settingsstore.cpp
+++ b/src/settingsstore.cpp
@@ -4,12 +4,22 @@
 #include "laburnumspar/instancelist.h"
 #include "laburnumspar/membership.h"
 
+#include <algorithm>
+
 namespace laburnumspar {
 
 namespace {
 
 using Kind = OfferResult::Kind;
 
+constexpr char RejectedMark = '!'; // paths start with '/'
+
+/// Path of the value itself, for a rejectedPath().
+std::optional<std::string> pathOfRejected(const std::string &path)
+{
+    return !path.empty() && path.front() == RejectedMark ? std::optional(path.substr(1)) : std::nullopt;
+}
+
 template <typename T>
 std::shared_ptr<const T> shared(T value)
 {
@@ -18,13 +28,22 @@
 
 } // namespace
 
+std::string rejectedPath(std::string_view path)
+{
+    return RejectedMark + std::string(path);
+}
+
 // Per path, the store keeps the highest valid and the highest invalid version. Both are maxima over the offers, and
 // everything else is derived from them, so the state cannot depend on the order of the offers.
-OfferResult SettingsStore::offer(const std::string &path, std::uint64_t version, const std::string &text)
+OfferResult SettingsStore::offer(const std::string &offeredPath, std::uint64_t version, const std::string &text)
 {
     if (version == 0) {
         return {Kind::Older, {}};
     }
+    if (const auto path = pathOfRejected(offeredPath)) {
+        return offer(*path, version, text);
+    }
+    const auto &path = offeredPath;
     auto &entry = m_entries[path];
     if (version < entry.version) {
         return {Kind::Older, {}};
@@ -40,7 +59,7 @@
         try {
             entry.parsed = parse(path, text);
         } catch (const Error &e) {
-            return reject(entry, version, e.what());
+            return reject(entry, version, text, e.what());
         }
         entry.text = text;
     }
@@ -63,6 +82,9 @@
         if (entry.effective) {
             digest.push_back({path, entry.version});
         }
+        if (const auto refused = refusedVersion(entry)) {
+            digest.push_back({rejectedPath(path), refused});
+        }
     }
     return digest;
 }
@@ -80,9 +102,11 @@
 {
     std::vector<SettingsVersion> missing;
     for (const auto &theirs : digest) {
-        const auto it = m_entries.find(theirs.path);
+        const auto rejected = pathOfRejected(theirs.path);
+        const auto it = m_entries.find(rejected.value_or(theirs.path));
         const bool known = it != m_entries.end()
-            && (theirs.version <= it->second.version || theirs.version == it->second.invalidVersion);
+            && (theirs.version <= it->second.version || theirs.version == it->second.invalidVersion
+                || (rejected && theirs.version < it->second.invalidVersion));
         if (!known && theirs.version > 0) {
             missing.push_back(theirs);
         }
@@ -104,8 +128,25 @@
     return newer;
 }
 
+// A valid version of a service that another team has counts as refused, too.
+std::uint64_t SettingsStore::refusedVersion(const Entry &entry)
+{
+    const auto displaced = entry.effective ? 0 : entry.version;
+    const auto invalid = entry.invalidVersion > entry.version ? entry.invalidVersion : 0;
+    return std::max(displaced, invalid);
+}
+
 std::optional<AcceptedValue> SettingsStore::value(const std::string &path) const
 {
+    if (const auto rejected = pathOfRejected(path)) {
+        const auto it = m_entries.find(*rejected);
+        const auto refused = it == m_entries.end() ? 0 : refusedVersion(it->second);
+        if (refused == 0) {
+            return std::nullopt;
+        }
+        const bool displaced = refused == it->second.version;
+        return AcceptedValue{refused, displaced ? it->second.text : it->second.invalidText};
+    }
     const auto *entry = inEffect(path);
     return entry ? std::optional(AcceptedValue{entry->version, entry->text}) : std::nullopt;
 }
@@ -182,10 +223,13 @@
     }
 }
 
-OfferResult SettingsStore::reject(Entry &entry, std::uint64_t version, const std::string &reason)
+OfferResult
+SettingsStore::reject(Entry &entry, std::uint64_t version, const std::string &text, const std::string &reason)
 {
     if (version > entry.invalidVersion) {
         entry.invalidVersion = version;
+        entry.invalidText = text;
+        m_digestHash.reset();
         entry.invalidReason = reason;
     }
     return {Kind::Rejected, reason};
--- a/tests/test_settingsstore.cpp
+++ b/tests/test_settingsstore.cpp
@@ -155,6 +155,22 @@
     BOOST_CHECK(late.dump() == peer.dump());
 }
 
+// Guards against a rejection that only the instances which read the platform can show.
+BOOST_AUTO_TEST_CASE(rejectionReachesPeersWithItsReason)
+{
+    SettingsStore reader;
+    reader.offer(ordersPath, 6, slots(5));
+    reader.offer(ordersPath, 7, "invalid");
+    SettingsStore peer;
+    pull(peer, reader);
+    BOOST_TEST(peer.service("orders")->slots == 5U);
+    BOOST_CHECK(peer.dump() == reader.dump());
+    BOOST_TEST(recordsOf(peer)[ordersPath].rejectedVersion == 7U);
+    reader.offer(ordersPath, 8, slots(6));
+    pull(peer, reader);
+    BOOST_TEST(peer.digest().size() == 1U);
+}
+
 // Guards against two teams that both believe they own a service, or an owner that depends on who came first.
 BOOST_AUTO_TEST_CASE(firstTeamKeepsTheServiceName)
 {
@@ -165,7 +181,8 @@
     for (const auto *store : {&early, &late}) {
         BOOST_TEST(store->service("orders")->team == "crew");
         BOOST_TEST(store->services().size() == 1U);
-        BOOST_TEST(store->digest().size() == 1U);
+        const std::vector<SettingsVersion> expected{{crewOrdersPath, 2}, {rejectedPath(ordersPath), 5}};
+        BOOST_CHECK(store->digest() == expected);
         BOOST_TEST(!store->value(ordersPath).has_value());
         const auto record = recordsOf(*store)[ordersPath];
         BOOST_TEST(record.rejectedVersion == 5U);
