dispatcher: pause upstreams that refuse connections

Cause: an upstream that fails at once frees its slots fastest, so that it gets most of the work; its failures also made the slots look faster than they are. A deadline near the end of the clock overflowed the arithmetic of the queue, and some state took a clock near zero for a recent event. Ruled out: leaving connection failures to the health judgement alone, since it may not eject an upstream at the floor. Conclusion: a refused request costs its upstream a pause, whatever the reason.

--- a/include/laburnumspar/dispatcher.h
+++ b/include/laburnumspar/dispatcher.h
@@ -45,7 +45,7 @@
 struct Completion {
     Microseconds runTime{0}; ///< 0: the time since the start decision
     Outcome outcome = Outcome::Answered;
-    Reason reason = Reason::None; ///< Shed lowers the slots of the upstream for a moment
+    Reason reason = Reason::None; ///< Shed and ConnectFailed lower the slots of the upstream for a moment
     std::optional<unsigned> reportedInFlight; ///< work at the upstream, including the item that ended
 };
 
--- a/src/detail/classestimator.cpp
+++ b/src/detail/classestimator.cpp
@@ -124,7 +124,8 @@
 bool ClassEstimator::takeTrial(const std::string &route, TimePoint now)
 {
     Route &known = touch(route);
-    if (now - known.lastSample < TrialInterval || now - m_lastTrial < TrialSpacing) {
+    const bool recentSample = known.lastSample && now - *known.lastSample < TrialInterval;
+    if (recentSample || (m_lastTrial && now - *m_lastTrial < TrialSpacing)) {
         return false;
     }
     known.lastSample = now;
--- a/src/detail/classestimator.h
+++ b/src/detail/classestimator.h
@@ -74,7 +74,7 @@
         RunTimeAverage runTime;
         std::optional<WorkClass> learned;
         std::optional<UpstreamId> overranOn;
-        TimePoint lastSample;
+        std::optional<TimePoint> lastSample;
     };
 
     Route &touch(const std::string &name);
@@ -86,7 +86,7 @@
     std::unordered_map<std::string, std::list<Route>::iterator> m_byName;
     RunTimeAverage m_classes[2];
     RunTimeAverage m_usual[2]; // by declared class
-    TimePoint m_lastTrial;
+    std::optional<TimePoint> m_lastTrial;
 };
 
 } // namespace laburnumspar::detail
--- a/src/detail/fairqueue.cpp
+++ b/src/detail/fairqueue.cpp
@@ -61,11 +61,11 @@
 
 bool OverloadDetector::mustStayShort(bool beyondTarget, TimePoint now)
 {
-    if (!beyondTarget) {
+    if (!beyondTarget || !m_calmAt) {
         m_calmAt = now;
         return false;
     }
-    const bool lasting = now - m_calmAt >= LastingOverload || now - m_limitedAt < LastingOverload;
+    const bool lasting = now - *m_calmAt >= LastingOverload || (m_limitedAt && now - *m_limitedAt < LastingOverload);
     if (lasting) {
         m_limitedAt = now;
     }
@@ -142,9 +142,13 @@
     charge(team, heldUs - costUs);
     team.meters[index(workClass)].add(-1, now);
     m_meters[index(workClass)].add(-1, now);
+    updateActive(team);
+}
+
+void FairQueue::learnSlotTime(Team &team, WorkClass workClass, double heldUs, TimePoint now)
+{
     team.slotTime[index(workClass)].add(heldUs, now);
     m_slotTime[index(workClass)].add(heldUs, now);
-    updateActive(team);
 }
 
 void FairQueue::reclassify(Team &team, TimePoint now)
--- a/src/detail/fairqueue.h
+++ b/src/detail/fairqueue.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -61,8 +62,8 @@
     bool mustStayShort(bool beyondTarget, TimePoint now);
 
 private:
-    TimePoint m_calmAt; // last time with a wait within the target
-    TimePoint m_limitedAt; // last time that the target was enforced
+    std::optional<TimePoint> m_calmAt; // last time with a wait within the target
+    std::optional<TimePoint> m_limitedAt; // last time that the target was enforced
 };
 
 /// Queues and slot use of one calling team.
@@ -102,6 +103,7 @@
     void start(Team &team, WorkClass workClass, double costUs, TimePoint now);
     /// Ends an item that held its slot for `heldUs`.
     void finish(Team &team, WorkClass workClass, double costUs, double heldUs, TimePoint now);
+    void learnSlotTime(Team &team, WorkClass workClass, double heldUs, TimePoint now);
     void reclassify(Team &team, TimePoint now);
 
     /// Teams with waiting items of the class, the one that is due first in front.
--- a/src/detail/slottable.cpp
+++ b/src/detail/slottable.cpp
@@ -10,8 +10,8 @@
 
 // Reports arrive with every answer; one that is older than this no longer describes the upstream.
 constexpr Milliseconds ReportLifetime{500};
-// An upstream that sheds gets no more than it holds for this long: several short executions, so that it recovers,
-// but well below usual deadlines.
+// An upstream that sheds or does not accept connections gets no more than it holds for this long: several short
+// executions, so that it recovers, but well below usual deadlines.
 constexpr Milliseconds ShedPause{100};
 // The hook may take a lock; its answers change with evidence, over tens of milliseconds at the earliest.
 constexpr Milliseconds HookLifetime{1};
@@ -193,7 +193,8 @@
         --slot.longOutstanding;
         --m_longRunning;
     }
-    if (completion.reason == Reason::Shed) {
+    // An upstream that fails at once would otherwise free its slots fastest and attract most of the work.
+    if (completion.reason == Reason::Shed || completion.reason == Reason::ConnectFailed) {
         slot.shedLimit = slot.outstanding;
         slot.shedUntil = now + ShedPause;
     }
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t RecentDecisions = 64;
+// Deadlines beyond this are all alike; larger ones would overflow the arithmetic of the queue.
+constexpr std::chrono::hours MaxDeadline{24};
 // Estimated waits are means; a queue filled up to the mean would miss half of its deadlines when service is uneven.
 constexpr double WaitMargin = 1.1;
 // Admitted items give way to more urgent ones only as long as the estimate leaves them this margin.
@@ -77,7 +79,7 @@
     entry.item = std::move(item);
     entry.workClass = m_estimator.classify(entry.item.route, entry.item.workClass);
     entry.team = &m_queue.team(entry.item.team);
-    entry.key = {entry.item.deadline, m_sequence++};
+    entry.key = {std::min(entry.item.deadline, now + MaxDeadline), m_sequence++};
     entry.submittedAt = now;
 
     Reason reason = admit(entry, now);
@@ -200,6 +202,7 @@
     if (completion.outcome == Outcome::NotRun) {
         return;
     }
+    m_queue.learnSlotTime(*entry.team, entry.workClass, double(held.count()), now);
     if (completion.outcome == Outcome::Answered && completion.reason == Reason::None && !entry.cancelled) {
         m_estimator.record(item.route, item.workClass, entry.workClass, runTime, now);
     } else {
--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -271,16 +271,35 @@
     BOOST_TEST(dispatcher.load().slots == 4);
 }
 
-// Guards against requests thrown at an upstream that has just refused one for lack of room.
-BOOST_AUTO_TEST_CASE(shedLowersTheSlotsForAMoment)
+// Guards against requests thrown at an upstream that has just refused one, which frees its slots fastest.
+BOOST_AUTO_TEST_CASE(refusalOfAnUpstreamLowersItsSlotsForAMoment)
+{
+    for (const Reason reason : {Reason::Shed, Reason::ConnectFailed}) {
+        auto dispatcher = Dispatcher::Builder().build();
+        dispatcher.setUpstreams(pool(1, 4), at(0));
+        dispatcher.submit(shortItem(1, 1000), at(0));
+        dispatcher.submit(shortItem(2, 1000), at(0));
+        dispatcher.finish(1, {Milliseconds(1), Outcome::NotRun, reason, {}}, at(1));
+        BOOST_TEST(dispatcher.submit(shortItem(3, 1000), at(2)).empty());
+        BOOST_TEST(starts(dispatcher.poll(at(101))) == 1);
+    }
+}
+
+// Guards against overflow with a deadline that means "none", and against state that assumes a clock far from zero.
+BOOST_AUTO_TEST_CASE(extremeTimesAreHarmless)
 {
     auto dispatcher = Dispatcher::Builder().build();
-    dispatcher.setUpstreams(pool(1, 4), at(0));
-    dispatcher.submit(shortItem(1, 1000), at(0));
-    dispatcher.submit(shortItem(2, 1000), at(0));
-    dispatcher.finish(1, {Milliseconds(1), Outcome::NotRun, Reason::Shed, {}}, at(1));
-    BOOST_TEST(dispatcher.submit(shortItem(3, 1000), at(2)).empty());
-    BOOST_TEST(starts(dispatcher.poll(at(101))) == 1);
+    dispatcher.setUpstreams(pool(1, 1), TimePoint());
+    auto item = shortItem(1, 0);
+    item.deadline = TimePoint::max();
+    BOOST_TEST(starts(dispatcher.submit(item, TimePoint())) == 1);
+    for (item.ticket = 2; item.ticket < 10; ++item.ticket) {
+        BOOST_TEST(dispatcher.submit(item, TimePoint(Milliseconds(1))).empty());
+    }
+    BOOST_TEST(starts(dispatcher.finish(1, done(900), TimePoint(Milliseconds(900)))) == 1);
+    BOOST_TEST(dispatcher.poll(TimePoint(Milliseconds(901))).empty());
+    item.deadline = TimePoint::min();
+    requireRefusal(dispatcher.submit(item, TimePoint(Milliseconds(902))), 10, Reason::DeadlinePassed);
 }
 
 // Guards against work for an upstream that drains or is suspect while a better one has a free slot.
