peerlinks: drop forwarded requests that were given up before they were written

They were waiting in the send queue of a link when their deadline passed; the waiter was told not-run, and the frame was written later. Ruled out: the dispatcher (it starts nothing after its deadline and asserts it) and the upstream client (it reports not-run only before the first byte). Change: the hook that runs before the first byte of a frame decides whether the request is still wanted.

--- a/src/net/framestream.cpp
+++ b/src/net/framestream.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-void FrameStream::send(std::vector<std::uint8_t> frame, SentHook onWrite)
+void FrameStream::send(std::vector<std::uint8_t> frame, WriteHook onWrite)
 {
     asio::post(m_socket.get_executor(),
                [self = shared_from_this(), frame = std::move(frame), onWrite = std::move(onWrite)]() mutable {
@@ -34,8 +34,8 @@
         auto frame = std::move(m_queue.front());
         m_queue.pop_front();
         m_queuedBytes -= frame.bytes.size();
-        if (frame.onWrite) {
-            frame.onWrite();
+        if (frame.onWrite && !frame.onWrite()) {
+            continue;
         }
         auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(frame.bytes), Awaitable);
         if (ec) {
--- a/src/net/framestream.h
+++ b/src/net/framestream.h
@@ -11,12 +11,13 @@
 class FrameStream : public std::enable_shared_from_this<FrameStream>
 {
 public:
-    using SentHook = std::function<void()>;
+    /// Called right before the first byte of a frame is written; false drops the frame.
+    using WriteHook = std::function<bool()>;
 
     explicit FrameStream(tcp::socket socket);
 
-    /// Queues a frame; `onWrite` is called when its first byte may leave. Safe to call from any thread.
-    void send(std::vector<std::uint8_t> frame, SentHook onWrite = {});
+    /// Queues a frame. Safe to call from any thread.
+    void send(std::vector<std::uint8_t> frame, WriteHook onWrite = {});
     /// Next message; empty when the connection has ended or carried bytes that are no message.
     awaitable<std::optional<DecodedMessage>> receive();
     /// Safe to call from any thread.
@@ -35,7 +36,7 @@
 private:
     struct Frame {
         std::vector<std::uint8_t> bytes;
-        SentHook onWrite;
+        WriteHook onWrite;
     };
 
     awaitable<void> writeAll();
--- a/src/net/peerlinks.cpp
+++ b/src/net/peerlinks.cpp
@@ -159,9 +159,13 @@
             }
             const auto id = request.id;
             transmit(std::move(request), [self = shared_from_this(), id] {
-                if (const auto it = self->m_pending.find(id); it != self->m_pending.end()) {
-                    it->second.written = true;
+                // A request that was given up while it waited for the socket has been reported as not run.
+                const auto it = self->m_pending.find(id);
+                if (it == self->m_pending.end()) {
+                    return false;
                 }
+                it->second.written = true;
+                return true;
             });
         }
         m_backlog.clear();
@@ -170,7 +174,7 @@
         }
     }
 
-    void transmit(Message message, FrameStream::SentHook onWrite = {})
+    void transmit(Message message, FrameStream::WriteHook onWrite = {})
     {
         if (m_links.m_faults.passesOutgoing(m_peer)) {
             m_stream->send(encode(m_links.m_self, message), std::move(onWrite));
