--- a/include/laburnumspar/dispatcher.h
+++ b/include/laburnumspar/dispatcher.h
@@ -45,7 +45,7 @@
 struct Completion {
     Microseconds runTime{0}; ///< 0: the time since the start decision
     Outcome outcome = Outcome::Answered;
-    Reason reason = Reason::None; ///< Shed lowers the slots of the upstream for a moment
+    Reason reason = Reason::None; ///< Shed and ConnectFailed lower the slots of the upstream for a moment
     std::optional<unsigned> reportedInFlight; ///< work at the upstream, including the item that ended
 };
 
@@ -68,6 +68,7 @@
     std::uint64_t ticket = 0;
     UpstreamId upstream; ///< empty for Refuse
     Reason reason = Reason::None; ///< None for Start
+    WorkClass workClass = WorkClass::Short; ///< as learned
 };
 
 template <>
@@ -100,8 +101,8 @@
 struct RouteDump {
     std::string route;
     std::optional<WorkClass> learned; ///< empty: as declared
-    Microseconds mean{0};
-    Microseconds deviation{0};
+    Microseconds usual{0}; ///< geometric mean
+    Microseconds upper{0}; ///< seldom exceeded; the time left for execution when requests queue
     unsigned samples = 0;
 };
 
@@ -123,6 +124,7 @@
     unsigned longLimit = 0;
     unsigned longRunning = 0;
     std::size_t queued = 0;
+    std::size_t teamsKnown = 0; ///< with or without work
     Microseconds usualShort{0};
     Microseconds usualLong{0};
 };
--- a/src/detail/dispatcherstart.cpp
+++ b/src/detail/dispatcherstart.cpp
@@ -26,7 +26,7 @@
     }
 }
 
-/// Starts or refuses one waiting item; false if nothing can be decided.
+/// Starts, refuses or reclassifies one waiting item; false if there is nothing to do.
 bool Dispatcher::Private::decideNext(TimePoint now, Decisions &decisions)
 {
     struct Turn {
@@ -55,6 +55,9 @@
     for (const std::uint64_t ticket : team.queues[index(workClass)].head(ItemsTried)) {
         const auto it = m_entries.find(ticket);
         requireInvariant(it != m_entries.end() && !it->second.slot, "a queued item waits");
+        if (followClass(it->second)) {
+            return true;
+        }
         const Reason reason = hopeless(it->second, now);
         if (reason != Reason::None) {
             refuse(it, reason, now, decisions);
@@ -73,13 +76,26 @@
     return false;
 }
 
+/// Moves a waiting item to the queue of the class that its route has been learned as since; true if it moved.
+bool Dispatcher::Private::followClass(Entry &entry)
+{
+    const WorkClass learned = m_estimator.classify(entry.item.route, entry.item.workClass);
+    if (learned == entry.workClass) {
+        return false;
+    }
+    m_queue.erase(*entry.team, entry.workClass, entry.key);
+    entry.workClass = learned;
+    m_queue.push(*entry.team, entry.workClass, entry.key, entry.item.ticket);
+    return true;
+}
+
 /// Why the item must not start any more; None if it may.
 Reason Dispatcher::Private::hopeless(const Entry &entry, TimePoint now) const
 {
     if (entry.item.deadline <= now) {
         return Reason::DeadlinePassed;
     }
-    const double usualUs = m_estimator.runTime(entry.item.route, entry.workClass).mean();
+    const double usualUs = m_estimator.runTime(entry.item.route, entry.workClass).usual();
     const bool tooLong = detail::DrainRate{now, 0, usualUs}.end(0) > entry.item.deadline;
     return tooLong && !entry.trial ? Reason::DeadlineTooShort : Reason::None;
 }
@@ -96,7 +112,7 @@
     if (entry.workClass == WorkClass::Short) {
         m_startedShort.emplace(now, entry.item.ticket);
     }
-    note(entry, {Decision::Kind::Start, entry.item.ticket, slot.id, Reason::None}, now, decisions);
+    note(entry, {Decision::Kind::Start, entry.item.ticket, slot.id, Reason::None, entry.workClass}, now, decisions);
 }
 
 void Dispatcher::Private::refuse(Entries::iterator it, Reason reason, TimePoint now, Decisions &decisions)
@@ -104,7 +120,7 @@
     requireInvariant(!it->second.slot, "started work is not refused");
     const Entry &entry = it->second;
     m_queue.erase(*entry.team, entry.workClass, entry.key);
-    note(entry, {Decision::Kind::Refuse, entry.item.ticket, {}, reason}, now, decisions);
+    note(entry, {Decision::Kind::Refuse, entry.item.ticket, {}, reason, entry.workClass}, now, decisions);
     m_entries.erase(it);
 }
 
@@ -134,7 +150,7 @@
         m_slots.reclassify(*entry.slot);
         m_queue.reclassify(*entry.team, now);
         const auto soFar = std::chrono::duration_cast<Microseconds>(now - entry.startedAt);
-        m_estimator.markLong(entry.item.route, soFar, now);
+        m_estimator.noteOverrun(entry.item.route, entry.slot->id, m_slots.all().size() == 1, soFar, now);
     }
 }
 
--- a/src/detail/fairqueue.cpp
+++ b/src/detail/fairqueue.cpp
@@ -15,6 +15,9 @@
 constexpr unsigned EnoughSamples = 8;
 // Idle teams are kept up to this number: forgetting one costs a scan.
 constexpr std::size_t IdleTeamsKept = 256;
+constexpr Milliseconds DropInterval{500};
+// The virtual time stands still while every request comes from a new team, so debts must also end with time.
+constexpr Milliseconds DebtLifetime{2000};
 
 // The mean of the slot time covers about this time, but between 16 and 512 items: fewer would be noise in a long queue,
 // more would follow a slowdown too late.
@@ -58,11 +61,11 @@
 
 bool OverloadDetector::mustStayShort(bool beyondTarget, TimePoint now)
 {
-    if (!beyondTarget) {
+    if (!beyondTarget || !m_calmAt) {
         m_calmAt = now;
         return false;
     }
-    const bool lasting = now - m_calmAt >= LastingOverload || now - m_limitedAt < LastingOverload;
+    const bool lasting = now - *m_calmAt >= LastingOverload || (m_limitedAt && now - *m_limitedAt < LastingOverload);
     if (lasting) {
         m_limitedAt = now;
     }
@@ -143,6 +146,7 @@
     }
     m_virtualTime = std::max(m_virtualTime, team.virtualTime);
     charge(team, costUs);
+    team.lastStart = now;
     team.meters[index(workClass)].add(1, now);
     m_meters[index(workClass)].add(1, now);
     updateActive(team);
@@ -153,9 +157,13 @@
     charge(team, heldUs - costUs);
     team.meters[index(workClass)].add(-1, now);
     m_meters[index(workClass)].add(-1, now);
+    updateActive(team);
+}
+
+void FairQueue::learnSlotTime(Team &team, WorkClass workClass, double heldUs, TimePoint now)
+{
     team.slotTime[index(workClass)].add(heldUs, now);
     m_slotTime[index(workClass)].add(heldUs, now);
-    updateActive(team);
 }
 
 void FairQueue::reclassify(Team &team, TimePoint now)
@@ -219,13 +227,15 @@
     return double(team.queued() + 1) > double(queueLimit) * team.weight / activeWeightWith(team);
 }
 
-void FairQueue::dropIdle()
+void FairQueue::dropIdle(TimePoint now)
 {
-    if (m_teams.size() < m_activeTeams + IdleTeamsKept) {
+    if (m_teams.size() < m_activeTeams + IdleTeamsKept || now - m_droppedAt < DropInterval) {
         return;
     }
-    std::erase_if(m_teams, [this](const auto &entry) {
-        return !entry.second->active && entry.second->virtualTime <= m_virtualTime;
+    m_droppedAt = now;
+    std::erase_if(m_teams, [&](const auto &entry) {
+        const Team &team = *entry.second;
+        return !team.active && (team.virtualTime <= m_virtualTime || now - team.lastStart > DebtLifetime);
     });
 }
 
--- a/src/detail/fairqueue.h
+++ b/src/detail/fairqueue.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -61,8 +62,8 @@
     bool mustStayShort(bool beyondTarget, TimePoint now);
 
 private:
-    TimePoint m_calmAt; // last time with a wait within the target
-    TimePoint m_limitedAt; // last time that the target was enforced
+    std::optional<TimePoint> m_calmAt; // last time with a wait within the target
+    std::optional<TimePoint> m_limitedAt; // last time that the target was enforced
 };
 
 /// Queues and slot use of one calling team.
@@ -76,6 +77,7 @@
     std::array<SlotTimeAverage, 2> slotTime; ///< by class
     std::array<OverloadDetector, 2> overload; ///< by class
     bool active = false; ///< has waiting or started items
+    TimePoint lastStart;
 
     std::size_t queued() const
     {
@@ -103,6 +105,7 @@
     void start(Team &team, WorkClass workClass, double costUs, TimePoint now);
     /// Ends an item that held its slot for `heldUs`.
     void finish(Team &team, WorkClass workClass, double costUs, double heldUs, TimePoint now);
+    void learnSlotTime(Team &team, WorkClass workClass, double heldUs, TimePoint now);
     void reclassify(Team &team, TimePoint now);
 
     /// Teams with waiting items of the class, the one that is due first in front.
@@ -118,8 +121,8 @@
     Team *mostQueued();
     /// True if the team holds its weighted share, or more, of a queue of this length.
     bool overQueueShare(const Team &team, std::size_t queueLimit) const;
-    /// Forgets teams that have neither work nor a debt of slot time.
-    void dropIdle();
+    /// Forgets teams that have neither work nor a recent debt of slot time.
+    void dropIdle(TimePoint now);
 
     std::size_t size() const
     {
@@ -156,6 +159,7 @@
     double m_virtualTime = 0;
     double m_activeWeight = 0;
     std::size_t m_activeTeams = 0;
+    TimePoint m_droppedAt;
     std::uint64_t m_nextNumber = 0;
 };
 
--- a/src/detail/upstreamrecord.h
+++ b/src/detail/upstreamrecord.h
@@ -37,15 +37,18 @@
     Admission admission(TimePoint now, const HealthSettings &settings) const;
 
     bool ramping(TimePoint now, const HealthSettings &settings) const;
+    /// Still warming up after its start, when long run times are no fault.
+    bool cold(TimePoint now, const HealthSettings &settings) const;
     /// Serving at full capacity, with good evidence in the last EvidenceLife.
     bool confirmedHealthy(TimePoint now, const HealthSettings &settings) const;
     /// Neither ejected nor draining.
     bool usable() const;
     double wrongScore() const;
     double score() const;
+    /// Neither work nor a probe has been answered since work was first left without an answer.
     bool silent() const
     {
-        return silentCount > 0;
+        return silentCount > 0 && (!lastProbeOk || *lastProbeOk < silentSince);
     }
 
     PoolMember member;
@@ -64,8 +67,9 @@
     TimePoint excludedUntil;
     double ejectionScore = 0;
     TimePoint nextProbe;
-    unsigned silentCount = 0; ///< attempts without any answer since the last answer
+    unsigned silentCount = 0; ///< attempts without any answer since the last answer to work
     TimePoint silentSince;
+    std::optional<TimePoint> lastProbeOk;
     bool unreachable = false;
     bool floorBinding = false;
     bool failureBurst = false; ///< several failures in a row that evaluate() has not judged yet
@@ -75,6 +79,7 @@
     void noteAnswer(const Evidence &evidence, bool newAttempt);
     void noteShed(TimePoint at);
     void noteGood(const Evidence &evidence);
+    unsigned trialSlots() const;
     unsigned shedLimit(TimePoint now, unsigned slots) const;
     unsigned rampedSlots(TimePoint now, const HealthSettings &settings) const;
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t RecentDecisions = 64;
+// Deadlines beyond this are all alike; larger ones would overflow the arithmetic of the queue.
+constexpr std::chrono::hours MaxDeadline{24};
 // Estimated waits are means; a queue filled up to the mean would miss half of its deadlines when service is uneven.
 constexpr double WaitMargin = 1.1;
 // Admitted items give way to more urgent ones only as long as the estimate leaves them this margin.
@@ -17,7 +19,8 @@
 // enough to keep the slots busy between two arrivals.
 constexpr double TargetWaitUs = 25'000;
 constexpr double TargetWaitExecutions = 4;
-constexpr std::size_t TargetWaitItems = 4;
+// A team with a small share may always have this many items waiting, however long they take.
+constexpr std::size_t MinWaitItems = 1;
 // Of a deadline that is short against the execution time, waiting may still use this share.
 constexpr double MinWaitShare = 0.3;
 
@@ -84,7 +87,7 @@
     entry.item = std::move(item);
     entry.workClass = m_estimator.classify(entry.item.route, entry.item.workClass);
     entry.team = &m_queue.team(entry.item.team);
-    entry.key = {entry.item.deadline, m_sequence++};
+    entry.key = {std::min(entry.item.deadline, now + MaxDeadline), m_sequence++};
     entry.submittedAt = now;
 
     Reason reason = admit(entry, now);
@@ -125,7 +128,7 @@
 {
     const std::size_t waiting = team.queues[index(workClass)].size();
     const double targetUs = std::max(TargetWaitUs, TargetWaitExecutions * m_queue.slotTime(team, workClass));
-    return waiting >= TargetWaitItems && double(waiting) * drainRate(team, workClass, now).perItemUs > targetUs;
+    return waiting >= MinWaitItems && double(waiting) * drainRate(team, workClass, now).perItemUs > targetUs;
 }
 
 /// Estimates the wait behind the items of the same team and class that are due earlier.
@@ -135,13 +138,13 @@
     const auto &runTime = m_estimator.runTime(entry.item.route, entry.workClass);
     const double leftUs = double(microseconds(entry.item.deadline - now).count());
     detail::DrainRate rate = drainRate(*entry.team, entry.workClass, now);
-    rate.runTimeUs = std::min(runTime.upper(), std::max(runTime.mean(), leftUs * (1 - MinWaitShare)));
+    rate.runTimeUs = std::min(runTime.upper(), std::max(runTime.usual(), leftUs * (1 - MinWaitShare)));
     const double ahead = double(queue.countAhead(entry.item.deadline) + 1);
     if (rate.end(ahead * WaitMargin) > entry.item.deadline) {
         return Reason::DeadlineTooShort;
     }
     // An urgent item must not push admitted ones past their deadlines.
-    rate.runTimeUs = runTime.mean();
+    rate.runTimeUs = runTime.usual();
     rate.perItemUs *= InsertMargin;
     return queue.toleratesInsert(entry.item.deadline, rate) ? Reason::None : Reason::DeadlineTooShort;
 }
@@ -149,8 +152,11 @@
 /// With a full queue, a team below its share of it takes the place of the item due last of the team that is most over.
 bool Dispatcher::Private::makeRoom(const detail::Team &team, TimePoint now, Decisions &decisions)
 {
-    detail::Team *most = m_queue.mostQueued();
-    if (!most || most == &team || m_queue.overQueueShare(team, m_queueLimit)) {
+    if (m_queue.overQueueShare(team, m_queueLimit)) {
+        return false;
+    }
+    const detail::Team *most = m_queue.mostQueued();
+    if (!most || most == &team) {
         return false;
     }
     const auto &longQueue = most->queues[index(WorkClass::Long)];
@@ -204,6 +210,7 @@
     if (completion.outcome == Outcome::NotRun) {
         return;
     }
+    m_queue.learnSlotTime(*entry.team, entry.workClass, double(held.count()), now);
     if (completion.outcome == Outcome::Answered && completion.reason == Reason::None && !entry.cancelled) {
         m_estimator.record(item.route, item.workClass, entry.workClass, runTime, now);
     } else {
@@ -236,7 +243,7 @@
     refuseExpired(now, decisions);
     startWaiting(now, decisions);
     refuseSurplus(now, decisions);
-    m_queue.dropIdle();
+    m_queue.dropIdle(now);
     return decisions;
 }
 
--- a/tools/lspar-load/loadrun.cpp
+++ b/tools/lspar-load/loadrun.cpp
@@ -93,7 +93,11 @@
             end = std::min(end, posted.at + fault.duration);
         }
         for (const auto upstream : posted.upstreams) {
-            results.push_back({fault.kind, upstream, detectionTime(series, upstream, posted.at, end)});
+            results.push_back({fault.kind,
+                               upstream,
+                               detectionTime(series, upstream, posted.at, end),
+                               quietTime(series, upstream, posted.at, end),
+                               workReceived(series, upstream, posted.at, end)});
         }
     }
     return results;
@@ -166,7 +170,15 @@
     threads.clear();
     const auto records = collect(workers);
     std::this_thread::sleep_for(SettleTime);
-    LoadReport report{plan.scenario.name, plan.seed, options.direct, {}, {}, {}, {}, {}, {}, {}};
+    LoadReport report;
+    report.scenario = plan.scenario.name;
+    report.seed = plan.seed;
+    report.direct = options.direct;
+    for (const auto &worker : workers) {
+        for (const auto &[reason, count] : worker->reasons()) {
+            report.reasons[reason] += count;
+        }
+    }
     report.detections = detect(injected, control.workSeries(), plan.scenario);
     report.violations = check(plan, control, records);
     report.upstreams = difference(before, control.totals());
--- a/tools/lspar-load/worker.h
+++ b/tools/lspar-load/worker.h
@@ -42,6 +42,11 @@
     {
         return m_records;
     }
+    /// Requests that were not answered, by class, outcome and the reason that the fleet gave.
+    const std::map<std::string, std::uint64_t> &reasons() const
+    {
+        return m_reasons;
+    }
 
 private:
     struct Caller {
@@ -67,10 +72,12 @@
     const LoadPlan &m_plan;
     unsigned m_index;
     boost::asio::io_context m_context;
-    std::mt19937_64 m_random;
+    std::mt19937_64 m_arrivals; ///< arrivals and requests: the same for the same seed, whatever the answers
+    std::mt19937_64 m_random; ///< everything else
     std::discrete_distribution<std::size_t> m_mixDraw;
     std::vector<Caller> m_callers;
     std::vector<detail::RequestRecord> m_records;
+    std::map<std::string, std::uint64_t> m_reasons;
     std::uint64_t m_sequence;
 };
 
