test_health: cover late timeouts and attempts that run on

Cause: two rules of the judge had no test: timeouts of attempts lost in a fault of the own network, and old attempts that run on while answers come back. Ruled out: nothing to rule out; the code was not changed. Change: one test each.

--- a/tests/test_health.cpp
+++ b/tests/test_health.cpp
@@ -267,6 +267,43 @@
     BOOST_TEST(pool.judge.unreachable().empty());
 }
 
+// Guards against blaming single upstreams for attempts that were lost with the network and time out after it.
+BOOST_AUTO_TEST_CASE(lateTimeoutsOfANetworkFaultDoNotCount)
+{
+    Pool pool(6);
+    pool.warmUp();
+    const auto lostAt = pool.now;
+    pool.run(1s, [](unsigned) { return std::optional(EvidenceKind::ConnectFailed); });
+    pool.run(200ms, [](unsigned) { return std::optional(EvidenceKind::Success); });
+    for (int n = 0; n < 12; ++n) {
+        pool.judge.record({upstream(0), EvidenceKind::Timeout, WorkClass::Short, 1s, lostAt, pool.now, 0});
+        pool.run(50ms, [](unsigned it) { return it == 0 ? std::nullopt : std::optional(EvidenceKind::Success); });
+    }
+    BOOST_CHECK(pool.state(0) == HealthState::Healthy);
+}
+
+// Guards against an ejection by old attempts that run on, while other answers do come from the suspect upstream.
+BOOST_AUTO_TEST_CASE(longAttemptsAloneDoNotEject)
+{
+    Pool pool(6);
+    pool.warmUp();
+    const auto sentAt = pool.now;
+    for (int scan = 1; scan <= 15; ++scan) {
+        pool.run(50ms, [](unsigned n) { return n == 0 ? std::nullopt : std::optional(EvidenceKind::Success); });
+        for (std::uint64_t attempt = 10000; attempt < 10006; ++attempt) {
+            const auto runTime = std::chrono::duration_cast<Microseconds>(pool.now - sentAt);
+            if (runTime > pool.judge.overdueAfter(WorkClass::Short)) {
+                pool.judge.record(
+                    {upstream(0), EvidenceKind::Overdue, WorkClass::Short, runTime, sentAt, pool.now, attempt});
+            }
+        }
+        // An answer to an older attempt, so that the upstream is not silent.
+        pool.judge.record({upstream(0), EvidenceKind::Success, WorkClass::Long, RunTime, sentAt, pool.now, 0});
+    }
+    BOOST_TEST(pool.judge.dump(pool.now).upstreams.front().slowScore > 20);
+    BOOST_CHECK(pool.state(0) == HealthState::Suspect);
+}
+
 // Guards against keeping an upstream that only this instance cannot reach.
 BOOST_AUTO_TEST_CASE(pathFaultIsReportedUntilAProbeSucceeds)
 {
