load tool: state what the caller was told in each violation

Cause: a run with 17,720 requests told "not run" that ran showed only their keys, so that the fault could not be attributed. Ruled out: a text per record, since a run holds a million of them; the reason is kept as its enumeration value. Change: records carry the reason of the fleet; examples show class, outcome, reason and number of executions; reasons are counted from the records.

--- a/src/detail/outcomecheck.cpp
+++ b/src/detail/outcomecheck.cpp
@@ -79,7 +79,7 @@
         found.foreign += outcome == CallerOutcome::Foreign ? 1 : 0;
         found.partial += outcome == CallerOutcome::Partial ? 1 : 0;
         if (found.sum() > before && found.examples.size() < ExamplesMax) {
-            found.examples.push_back(record.sequence);
+            found.examples.push_back({record, runs});
         }
     }
     return found;
--- a/src/detail/outcomecheck.h
+++ b/src/detail/outcomecheck.h
@@ -52,6 +52,7 @@
     std::chrono::nanoseconds lag{0}; ///< from the scheduled arrival until the load tool acted on it
     Milliseconds deadline{0};
     CallerOutcome outcome = CallerOutcome::NoAnswer;
+    Reason reason = Reason::None; ///< stated by the fleet
     WorkClass workClass = WorkClass::Short;
     bool idempotent = true;
 
@@ -68,7 +69,12 @@
     std::uint64_t answeredNotRun = 0; ///< answered without an execution
     std::uint64_t foreign = 0;
     std::uint64_t partial = 0;
-    std::vector<std::uint64_t> examples; ///< sequences of the first ones
+    /// A request and its executions.
+    struct Example {
+        RequestRecord record;
+        unsigned executions = 0;
+    };
+    std::vector<Example> examples; ///< the first ones
 
     std::uint64_t sum() const
     {
--- a/tools/lspar-load/loadrun.cpp
+++ b/tools/lspar-load/loadrun.cpp
@@ -141,13 +141,28 @@
     return after;
 }
 
+/// Class, outcome and reason of a request.
+std::string describe(const RequestRecord &record)
+{
+    std::ostringstream out;
+    out << name(record.workClass) << (record.idempotent ? " " : " non-idempotent ") << name(record.outcome) << ' '
+        << name(record.reason);
+    return out.str();
+}
+
 void evaluate(LoadReport &report, const LoadPlan &plan, const std::vector<RequestRecord> &records)
 {
     report.phases = phaseResults(plan.scenario, records);
     report.seconds = secondResults(plan.scenario, records);
     report.missedBounds = missedBounds(plan.scenario.bounds, report.phases, report.detections);
-    for (const auto sequence : report.violations.examples) {
-        report.examples.push_back(keyOf(plan, sequence));
+    for (const auto &record : records) {
+        if (record.outcome != CallerOutcome::Answered) {
+            ++report.reasons[describe(record)];
+        }
+    }
+    for (const auto &[record, executions] : report.violations.examples) {
+        report.examples.push_back(keyOf(plan, record.sequence) + ": " + describe(record) + ", "
+                                  + std::to_string(executions) + " executions");
     }
 }
 
@@ -174,11 +189,6 @@
     report.scenario = plan.scenario.name;
     report.seed = plan.seed;
     report.direct = options.direct;
-    for (const auto &worker : workers) {
-        for (const auto &[reason, count] : worker->reasons()) {
-            report.reasons[reason] += count;
-        }
-    }
     report.detections = detect(injected, control.workSeries(), plan.scenario);
     report.violations = check(plan, control, records);
     report.upstreams = difference(before, control.totals());
--- a/tools/lspar-load/report.h
+++ b/tools/lspar-load/report.h
@@ -21,7 +21,7 @@
     std::vector<detail::SecondResult> seconds;
     std::vector<detail::DetectionResult> detections;
     detail::Violations violations;
-    std::vector<std::string> examples; ///< keys of requests with a violation
+    std::vector<std::string> examples; ///< requests with a violation: key, what the caller got, executions
     UpstreamTotals upstreams; ///< counted during the run
     std::map<std::string, std::uint64_t> reasons; ///< of requests without an answer: class, outcome, reason
     std::vector<std::string> missedBounds;
--- a/tools/lspar-load/worker.cpp
+++ b/tools/lspar-load/worker.cpp
@@ -183,11 +183,8 @@
     record.outcome = result.answered ? judgeAnswer(result.answer, expected)
         : result.sent                ? CallerOutcome::NoAnswer
                                      : CallerOutcome::Unreachable;
+    record.reason = fromName<Reason>(result.reason).value_or(Reason::None);
     m_records.push_back(record);
-    if (record.outcome != CallerOutcome::Answered) {
-        ++m_reasons[std::string(name(record.workClass)) + " " + std::string(name(record.outcome)) + " "
-                    + (result.reason.empty() ? "(no reason)" : result.reason)];
-    }
 }
 
 asio::awaitable<Exchange> Worker::sendDirect(HttpRequest request, Draft &draft, TimePoint limit)
--- a/tools/lspar-load/worker.h
+++ b/tools/lspar-load/worker.h
@@ -42,11 +42,6 @@
     {
         return m_records;
     }
-    /// Requests that were not answered, by class, outcome and the reason that the fleet gave.
-    const std::map<std::string, std::uint64_t> &reasons() const
-    {
-        return m_reasons;
-    }
 
 private:
     struct Caller {
@@ -77,7 +72,6 @@
     std::discrete_distribution<std::size_t> m_mixDraw;
     std::vector<Caller> m_callers;
     std::vector<detail::RequestRecord> m_records;
-    std::map<std::string, std::uint64_t> m_reasons;
     std::uint64_t m_sequence;
 };
 
