health, dispatcher: try upstreams in doubt with repeatable work only

Ruled out: longer exclusions; they do not help the first return, and keep a recovered upstream out. Change: suspect and returning upstreams get only work that may be repeated, unless all are in doubt. Only failed connects make an upstream unreachable. One test for the first rule.

--- a/include/laburnumspar/fleet.h
+++ b/include/laburnumspar/fleet.h
@@ -50,6 +50,7 @@
 struct Admission {
     unsigned slots = 0; ///< 0: no new work
     unsigned preference = 0; ///< lower is chosen first; a higher one only when no lower one has a free slot
+    bool trial = false; ///< in doubt: only for work that may be repeated, unless all upstreams are in doubt
 };
 
 } // namespace laburnumspar
--- a/src/detail/dispatcherstart.cpp
+++ b/src/detail/dispatcherstart.cpp
@@ -63,7 +63,7 @@
             refuse(it, reason, now, decisions);
             return true;
         }
-        detail::Slot *slot = m_slots.choose(workClass, it->second.item.exclude);
+        detail::Slot *slot = m_slots.choose(workClass, it->second.item.exclude, it->second.item.idempotent);
         if (slot) {
             start(it->second, *slot, now, decisions);
             return true;
--- a/src/detail/healthdecider.cpp
+++ b/src/detail/healthdecider.cpp
@@ -21,7 +21,9 @@
 constexpr unsigned ReturnSuccesses = 3;
 /// A short stop, such as a garbage collection, makes an upstream slow and so suspect, and is over before this.
 constexpr Milliseconds SuspectTime{300};
-/// Attempts without any answer, and time since the first, after which an upstream is reported as unreachable.
+/// Failed connects, and time since the first attempt without an answer, after which an upstream is reported as
+/// unreachable. An upstream that takes connections and answers nothing is at fault itself: handing it to the next
+/// dispatcher would only lose that one's requests too.
 constexpr unsigned UnreachableAttempts = 3;
 constexpr Milliseconds UnreachableTime{300};
 /// Upstreams with evidence in this time are counted to tell a fault of this instance's own network.
@@ -170,7 +172,7 @@
 
 void HealthDecider::updateUnreachable(UpstreamRecord &record, TimePoint now) const
 {
-    if (!m_ownNetworkFault && record.silent() && record.silentCount >= UnreachableAttempts
+    if (!m_ownNetworkFault && record.silent() && record.connectFailures >= UnreachableAttempts
         && now - record.silentSince >= UnreachableTime) {
         record.unreachable = true;
     }
--- a/src/detail/slottable.cpp
+++ b/src/detail/slottable.cpp
@@ -74,7 +74,7 @@
     m_slotSum = 0;
     for (auto &slot : m_slots) {
         if (askHook) {
-            slot->admission = m_options.hook ? m_options.hook(slot->id, now) : Admission{slot->capacity, 0};
+            slot->admission = m_options.hook ? m_options.hook(slot->id, now) : Admission{slot->capacity, 0, false};
         }
         if (now >= slot->foreignUntil) {
             slot->foreign = 0;
@@ -89,6 +89,9 @@
     if (askHook) {
         m_hookReadAt = now;
     }
+    m_allInDoubt = std::all_of(m_slots.begin(), m_slots.end(), [](const auto &slot) {
+        return slot->admitted() == 0 || slot->admission.trial;
+    });
     m_longLimit = std::max(1U, unsigned(std::floor(m_options.longShare * m_slotSum + 1e-9)));
     assignLong();
 }
@@ -135,14 +138,16 @@
     return workClass == WorkClass::Long ? acceptsLong(slot) : slot.outstanding < slot.limit;
 }
 
-Slot *SlotTable::choose(WorkClass workClass, const std::vector<UpstreamId> &exclude)
+Slot *SlotTable::choose(WorkClass workClass, const std::vector<UpstreamId> &exclude, bool idempotent)
 {
     m_candidates.clear();
     m_candidateSlots.clear();
     const bool avoidLong = workClass == WorkClass::Short && m_options.placement == LongPlacement::FewUpstreams;
     std::pair<unsigned, bool> best{~0U, true};
     for (auto &slot : m_slots) {
-        if (!accepts(*slot, workClass) || contains(exclude, slot->id)) {
+        // What must not be repeated is lost if the upstream in doubt fails, so it is tried with other work.
+        const bool tooRisky = slot->admission.trial && !idempotent && !m_allInDoubt;
+        if (!accepts(*slot, workClass) || contains(exclude, slot->id) || tooRisky) {
             continue;
         }
         const std::pair<unsigned, bool> rank{slot->admission.preference, avoidLong && slot->forLong};
--- a/src/detail/slottable.h
+++ b/src/detail/slottable.h
@@ -50,7 +50,7 @@
     void refresh(TimePoint now, bool force);
 
     /// Upstream for an item of the class; null if none has a slot for it.
-    Slot *choose(WorkClass workClass, const std::vector<UpstreamId> &exclude);
+    Slot *choose(WorkClass workClass, const std::vector<UpstreamId> &exclude, bool idempotent);
     void start(Slot &slot, WorkClass workClass);
     void finish(Slot &slot, WorkClass workClass, const Completion &completion, TimePoint now);
     /// Counts a started short item as long from now on.
@@ -93,6 +93,7 @@
     unsigned m_slotSum = 0;
     unsigned m_longLimit = 0;
     unsigned m_longRunning = 0;
+    bool m_allInDoubt = false; ///< every usable upstream is on trial
     bool m_lastResort = false; // no upstream can spare a slot for long work
 };
 
--- a/src/detail/upstreamrecord.cpp
+++ b/src/detail/upstreamrecord.cpp
@@ -91,13 +91,16 @@
     if (evidence.kind == EvidenceKind::ProbeOk) {
         // The path is good, which says nothing about the work.
         lastProbeOk = evidence.at;
+        connectFailures = 0;
         unreachable = false;
     } else if (isAnswer(evidence.kind)) {
         silentCount = 0;
+        connectFailures = 0;
         unreachable = false;
     } else if (newAttempt && evidence.kind != EvidenceKind::ProbeFailed) {
         silentSince = silentCount == 0 ? evidence.at : silentSince;
         ++silentCount;
+        connectFailures += evidence.kind == EvidenceKind::ConnectFailed ? 1 : 0;
     }
     if (evidence.kind == EvidenceKind::Success || evidence.kind == EvidenceKind::Shed) {
         m_failuresInRow = 0;
@@ -133,6 +136,7 @@
     std::erase_if(wrongAnswers, [&](TimePoint at) { return at >= from; });
     ignoreSentBefore = std::max(ignoreSentBefore, to);
     silentCount = 0;
+    connectFailures = 0;
     m_failuresInRow = 0;
     failureBurst = false;
 }
@@ -235,23 +239,24 @@
 Admission UpstreamRecord::admission(TimePoint now, const HealthSettings &settings) const
 {
     if (!usable()) {
-        return {0, 0};
+        return {};
     }
     const unsigned most = std::min(1U, member.slots);
     if (!member.owned) {
-        return {most, 0};
+        return {most, 0, false};
     }
     if (state == HealthState::Suspect) {
-        return m_trialOpen ? Admission{trialSlots(), 0} : Admission{most, 1};
+        return m_trialOpen ? Admission{trialSlots(), 0, true} : Admission{most, 1, true};
     }
     if (failureBurst) {
-        return {most, 1};
+        return {most, 1, true};
     }
-    unsigned slots = state == HealthState::Returning && !rampFrom ? most : rampedSlots(now, settings);
+    const bool limited = state == HealthState::Returning && !rampFrom;
+    const unsigned slots = limited ? most : rampedSlots(now, settings);
     if (!m_lastShed) {
-        return {slots, 0};
+        return {slots, 0, limited};
     }
-    return {shedLimit(now, slots), now - *m_lastShed < ShedStep ? 1U : 0U};
+    return {shedLimit(now, slots), now - *m_lastShed < ShedStep ? 1U : 0U, limited};
 }
 
 bool UpstreamRecord::confirmedHealthy(TimePoint now, const HealthSettings &settings) const
--- a/src/detail/upstreamrecord.h
+++ b/src/detail/upstreamrecord.h
@@ -67,6 +67,7 @@
     TimePoint excludedUntil;
     double ejectionScore = 0;
     TimePoint nextProbe;
+    unsigned connectFailures = 0; ///< since the last answer; an upstream that accepts connections can be reached
     unsigned silentCount = 0; ///< attempts without any answer since the last answer to work
     TimePoint silentSince;
     std::optional<TimePoint> lastProbeOk;
--- a/src/health.cpp
+++ b/src/health.cpp
@@ -80,7 +80,7 @@
 Admission HealthJudge::admission(const UpstreamId &upstream, TimePoint now) const
 {
     const auto *record = m_d->pool.find(upstream);
-    return record ? record->admission(now, m_d->pool.settings()) : Admission{0, 0};
+    return record ? record->admission(now, m_d->pool.settings()) : Admission();
 }
 
 std::vector<UpstreamId> HealthJudge::probesDue(TimePoint now)
--- a/src/healthbaselines.cpp
+++ b/src/healthbaselines.cpp
@@ -97,7 +97,7 @@
 {
     const auto it = m_entries.find(upstream);
     if (it == m_entries.end() || it->second.out || it->second.member.phase == UpstreamPhase::Draining) {
-        return {0, 0};
+        return {};
     }
     return {it->second.member.slots, 0};
 }
--- a/src/net/serviceruntime.cpp
+++ b/src/net/serviceruntime.cpp
@@ -252,7 +252,7 @@
 {
     const auto sign = table.signs.find(upstream);
     if (sign == table.signs.end() || sign->second.draining || now - sign->second.seenAt > MaxSignAge) {
-        return {0, 0};
+        return {};
     }
     auto admission = table.judge->admission(upstream, now);
     admission.slots = table.reserve ? std::min(admission.slots, 1U) : admission.slots;
--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -320,6 +320,32 @@
     requireRefusal(dispatcher.poll(at(1)), 4, Reason::NoUpstream);
 }
 
+// Guards against losing a request that must not be repeated on an upstream in doubt, and against holding it back for
+// good where every upstream is in doubt.
+BOOST_AUTO_TEST_CASE(upstreamInDoubtGetsOnlyRepeatableWork)
+{
+    bool allInDoubt = false;
+    auto dispatcher = Dispatcher::Builder()
+                          .admissionHook([&](const UpstreamId &id, TimePoint) {
+                              return Admission{1, 0, allInDoubt || id == upstream(1)};
+                          })
+                          .build();
+    dispatcher.setUpstreams(pool(2, 1), at(0));
+    for (std::uint64_t ticket : {1, 2}) {
+        auto once = shortItem(ticket, 1000);
+        once.idempotent = false;
+        const auto decisions = dispatcher.submit(once, at(0));
+        BOOST_TEST(starts(decisions) == (ticket == 1 ? 1U : 0U));
+        BOOST_TEST((decisions.empty() || decisions[0].upstream == upstream(2)));
+    }
+    const auto repeatable = dispatcher.submit(shortItem(3, 1000), at(0));
+    BOOST_TEST_REQUIRE(starts(repeatable) == 1U);
+    BOOST_TEST((repeatable[0].upstream == upstream(1)));
+    dispatcher.finish(3, done(5), at(1));
+    allInDoubt = true;
+    BOOST_TEST(starts(dispatcher.poll(at(2))) == 1U);
+}
+
 // Guards against a slot that is freed while the upstream still runs the item, and against items that leak.
 BOOST_AUTO_TEST_CASE(cancelFreesQueuedButNotStartedWork)
 {
