tests: run a fleet against failures of owners, platform, settings and links

Cause: kills, repeats at several instances, an absent or stale platform, rejected settings and one-way links were only met by the random faults of the soak, which does not say which failure a run covers. Ruled out: tests in C++ that start processes, since the shell functions of the demo and the soak already do.

--- /dev/null
+++ b/tests/fleet/lib.sh
@@ -0,0 +1,81 @@
+# Functions of the tests that run a whole fleet; sourced by each of them.
+# shellcheck shell=bash
+set -uo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 1
+FLEET_PORT=${FLEET_PORT:-28000}
+FLEET_INSTANCES=${FLEET_INSTANCES:-4}
+# shellcheck source=scripts/fleet.sh
+source scripts/fleet.sh
+trap fleet_cleanup EXIT
+mkdir -p "$FLEET_DIR"
+DAEMON=$FLEET_BIN/laburnumspar
+SERVICE_PATH=/teams/$FLEET_TEAM/services/$FLEET_SERVICE
+WAIT_TRIES=300 # of 0.1 s each
+
+fail() {
+    echo "$*" >&2
+    exit 1
+}
+
+expect_equal() { [[ $1 == "$2" ]] || fail "$3: expected '$1', got '$2'"; }
+
+# eventually WHAT COMMAND...: polls a command until it succeeds; the limit is generous, since no verdict rests on time.
+eventually() {
+    local what=$1 tries
+    shift
+    for ((tries = 0; tries < WAIT_TRIES; tries++)); do
+        "$@" && return 0
+        sleep 0.1
+    done
+    fail "never happened: $what"
+}
+
+start_fleet() { fleet_start || fail "the fleet did not start"; }
+stop_fleet() { fleet_stop_all || fail "a process did not exit with 0 when it was told to stop"; }
+
+pid_of() { cat "$FLEET_DIR/$1.pid"; }
+is_running() { kill -0 "$(pid_of "$1")" 2>/dev/null; }
+log_has() { grep -q "$2" "$FLEET_DIR/$1.log"; }
+
+# call N PATH [CURL OPTION...]: sends one request by instance N; prints status, outcome and reason.
+call() {
+    local n=$1 path=$2
+    shift 2
+    curl -s -m 20 -o /dev/null -w '%{http_code} %header{lspar-outcome} %header{lspar-reason}\n' "$@" \
+        "http://$(fleet_callers "$n")/v1/call/$FLEET_SERVICE/$path"
+}
+
+# call_idempotent N PATH: the same with a deadline of 4 s, for requests that may be retried.
+call_idempotent() { call "$1" "$2" -H 'Lspar-Idempotent: true' -H 'Lspar-Deadline-Ms: 4000'; }
+
+# identifiers N COUNT: request identifiers that instance N owns, one a line.
+identifiers() {
+    curl -s -m 5 "http://$(fleet_callers "$1")/v1/addresses?service=$FLEET_SERVICE&ids=$2" | jq -r '.request_ids[]'
+}
+
+# runs_of KEY: how often the upstreams started the request with this key.
+runs_of() {
+    curl -s -m 5 -d "$1" "http://$FLEET_CONTROL/control/runs" | jq --arg key "$1" '.runs[$key].started // 0'
+}
+
+dump_of() { curl -s -m 5 "http://$(fleet_admin "$1")/dump"; }
+dump_matches() { dump_of "$1" | jq -e "$2" >/dev/null 2>&1; }
+all_dumps_match() {
+    local n
+    for ((n = 0; n < FLEET_INSTANCES; n++)); do dump_matches "$n" "$1" || return 1; done
+}
+
+# metric_of N NAME: sum of a metric over its labels.
+metric_of() {
+    curl -s -m 5 "http://$(fleet_admin "$1")/metrics" | awk -v name="$2" '$1 ~ "^" name "({|$)" {sum += $2} END {print sum + 0}'
+}
+
+platform_post() { curl -s -m 5 -X POST --data-binary "${2:-}" "http://$FLEET_PLATFORM/control/$1"; }
+# put_settings EXTRA: appends lines to the settings of the service; prints the new version.
+put_settings() { platform_post "put?path=$SERVICE_PATH" "$(fleet_service_settings && echo "$1")" | jq .version; }
+accepted_version() { echo ".settings[] | select(.path == \"$SERVICE_PATH\") | .accepted_version"; }
+is_accepted() { all_dumps_match "$(accepted_version) == $1"; }
+
+upstream_fault() { curl -s -m 5 -X POST "http://$FLEET_CONTROL/control/fault?$1"; }
+upstream_stat() { curl -s -m 5 "http://$FLEET_CONTROL/control/stats" | jq ".upstreams[$1].$2"; }
+upstream_total() { curl -s -m 5 "http://$FLEET_CONTROL/control/stats" | jq "[.upstreams[].$1] | add"; }
