--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 
 PACKAGES=(libboost1.81-dev libboost-program-options1.81-dev libboost-test1.81-dev libboost-json1.81-dev
     libboost-system1.81-dev libcereal-dev liblog4cplus-dev libtomlplusplus-dev librapidcheck-dev libxxhash-dev
-    ccache mold ninja-build)
+    ccache mold ninja-build curl jq)
 
 missing=()
 for package in "${PACKAGES[@]}"; do
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,3 +12,4 @@
 else
     ctest --test-dir build --output-on-failure -j 4
 fi
+tests/fleet/run.sh
