--- a/tests/fleet/lib.sh
+++ b/tests/fleet/lib.sh
@@ -36,7 +36,7 @@
     for file in "$FLEET_DIR"/*.pid; do
         [[ -f $file ]] && kill -KILL "$(<"$file")" 2>/dev/null
     done
-    wait 2>/dev/null
+    { wait; } 2>/dev/null # without a message for each killed process
     [[ -n $FLEET_KEEP ]] || rm -rf "$FLEET_DIR"
 }
 
