routing: keep the slots of upstreams in doubt out of the published load

The floor forbids the ejection of one of two upstreams of a zone; its free slot was published like any other, and entry instances filled their own zone down to a tenth of its slots, so work went to the slow upstream while other zones had room. Change: slots of upstreams in doubt are not published as free, and the own zone is preferred down to a fifth of its slots.

--- a/src/detail/slottable.cpp
+++ b/src/detail/slottable.cpp
@@ -231,7 +231,9 @@
 {
     unsigned free = 0;
     for (const auto &slot : m_slots) {
-        free += slot->limit - std::min(slot->limit, slot->outstanding);
+        // Published slots attract work, which upstreams in doubt should get only where no other one has room.
+        const bool counts = !slot->admission.trial || m_allInDoubt;
+        free += counts ? slot->limit - std::min(slot->limit, slot->outstanding) : 0;
     }
     return free;
 }
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -9,7 +9,7 @@
 // A dispatcher in another zone costs about one round trip between zones.
 constexpr double OtherZoneUs = 1000;
 // The own zone is preferred only while it has room, else it would fill up while others idle.
-constexpr double OwnZoneMinFreeShare = 0.1;
+constexpr double OwnZoneMinFreeShare = 0.2;
 // Assumed time to work off one more queued request of a dispatcher whose queue is unknown.
 constexpr double AssumedWorkUs = 5000;
 
