dump: show the loads that the choice of a dispatcher reads

Cause: the dump had the decisions of a dispatcher, but not what an entry instance chose the dispatcher from. Ruled out: logging each choice; at the peak that would be a line for each request. Change: dispatcher_loads in /dump, with outstanding requests and failed links.

--- a/include/laburnumspar/routing.h
+++ b/include/laburnumspar/routing.h
@@ -17,6 +17,15 @@
     bool self = false;
 };
 
+/// What an entry instance knows about one dispatcher of a service.
+struct DispatcherLoadRecord {
+    InstanceId dispatcher;
+    ServiceLoad load;
+    TimePoint at; ///< when the load was published
+    unsigned outstanding = 0; ///< requests sent from here and not answered yet
+    bool avoided = false; ///< its link has failed a moment ago
+};
+
 /// Last known load of the dispatchers, corrected by what has been sent to them since.
 class DispatcherLoads
 {
@@ -40,6 +49,9 @@
                                      TimePoint now,
                                      std::mt19937_64 &random) const;
 
+    /// All dispatchers, for operators.
+    std::vector<DispatcherLoadRecord> dump(TimePoint now) const;
+
 private:
     struct Entry {
         ServiceLoad load;
@@ -49,6 +61,7 @@
     };
     using Key = std::pair<InstanceId, std::string>;
 
+    bool isAvoided(const InstanceId &dispatcher, TimePoint now) const;
     double freeSlots(const Entry &entry) const;
     double expectedWaitUs(const Entry &entry, WorkClass workClass) const;
 
--- a/src/net/adminapi.cpp
+++ b/src/net/adminapi.cpp
@@ -78,6 +78,7 @@
     json::object body{{"process", processDump()}};
     body["settings"] = toJson(m_context.store.with([](SettingsStore &store) { return store.dump(); }));
     body["members"] = toJson(m_context.membership.with([&](Membership &members) { return members.view(now); }), now);
+    body["dispatcher_loads"] = toJson(m_context.loads(now), now);
     json::object services;
     for (const auto &service : m_context.services.services()) {
         const auto runtime = m_context.services.runtime(service);
--- a/src/net/adminapi.h
+++ b/src/net/adminapi.h
@@ -24,6 +24,7 @@
         MetricsRegistry &metrics;
         std::function<std::string()> state;
         std::function<bool()> isReader;
+        std::function<std::vector<DispatcherLoadRecord>(TimePoint)> loads;
     };
 
     explicit AdminApi(Context context);
--- a/src/net/dump.cpp
+++ b/src/net/dump.cpp
@@ -89,16 +89,30 @@
             {"ejected", zone.ejected}};
 }
 
+json::value toJson(const ServiceLoad &load)
+{
+    return {{"service", load.service},
+            {"slots", load.slots},
+            {"free", load.freeSlots},
+            {"queued", load.queued},
+            {"short_wait_us", load.shortWaitUs},
+            {"long_wait_us", load.longWaitUs}};
+}
+
+json::value toJson(const DispatcherLoadRecord &record, TimePoint now)
+{
+    return {{"dispatcher", toString(record.dispatcher)},
+            {"load", toJson(record.load)},
+            {"published_ms", agoMs(record.at, now)},
+            {"outstanding", record.outstanding},
+            {"avoided", record.avoided}};
+}
+
 json::value toJson(const MemberView &member, TimePoint now)
 {
     json::array loads;
     for (const auto &load : member.loads) {
-        loads.push_back({{"service", load.service},
-                         {"slots", load.slots},
-                         {"free", load.freeSlots},
-                         {"queued", load.queued},
-                         {"short_wait_us", load.shortWaitUs},
-                         {"long_wait_us", load.longWaitUs}});
+        loads.push_back(toJson(load));
     }
     return {{"instance", toString(member.id)},
             {"callers", toString(member.callerAddress)},
@@ -150,6 +164,11 @@
     return arrayOf(members, now);
 }
 
+json::value toJson(const std::vector<DispatcherLoadRecord> &records, TimePoint now)
+{
+    return arrayOf(records, now);
+}
+
 json::value toJson(const std::vector<SettingsRecord> &records)
 {
     json::array array;
--- a/src/net/dump.h
+++ b/src/net/dump.h
@@ -3,6 +3,7 @@
 #include "laburnumspar/dispatcher.h"
 #include "laburnumspar/health.h"
 #include "laburnumspar/membership.h"
+#include "laburnumspar/routing.h"
 #include "laburnumspar/settingsstore.h"
 
 #include <boost/json.hpp>
@@ -14,5 +15,6 @@
 boost::json::value toJson(const HealthDump &dump, TimePoint now);
 boost::json::value toJson(const std::vector<MemberView> &members, TimePoint now);
 boost::json::value toJson(const std::vector<SettingsRecord> &records);
+boost::json::value toJson(const std::vector<DispatcherLoadRecord> &records, TimePoint now);
 
 } // namespace laburnumspar::detail
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -183,7 +183,8 @@
                   m_faults,
                   m_metrics,
                   [this] { return stateName(); },
-                  [this] { return isReader(); }})
+                  [this] { return isReader(); },
+                  [this](TimePoint now) { return m_router.loads(now); }})
     , m_callers(m_io,
                 settings.callers,
                 {},
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -309,6 +309,11 @@
     m_loads.with([&](Loads &loads) { loads.table.update(dispatcher, load, at); });
 }
 
+std::vector<DispatcherLoadRecord> Router::loads(TimePoint now)
+{
+    return m_loads.with([&](Loads &loads) { return loads.table.dump(now); });
+}
+
 std::vector<std::string> Router::issueIds(std::size_t count)
 {
     const auto ids = m_context.claims.with([&](ClaimTable &claims) { return claims.issue(count, Clock::now()); });
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -32,6 +32,7 @@
 
     /// Takes over the loads that a dispatcher published.
     void noteLoad(const InstanceId &dispatcher, const ServiceLoad &load, TimePoint at);
+    std::vector<DispatcherLoadRecord> loads(TimePoint now);
     /// New identifiers owned by this instance, in text form.
     std::vector<std::string> issueIds(std::size_t count);
 
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -43,6 +43,21 @@
     m_avoid[dispatcher] = until;
 }
 
+bool DispatcherLoads::isAvoided(const InstanceId &dispatcher, TimePoint now) const
+{
+    const auto it = m_avoid.find(dispatcher);
+    return it != m_avoid.end() && now < it->second;
+}
+
+std::vector<DispatcherLoadRecord> DispatcherLoads::dump(TimePoint now) const
+{
+    std::vector<DispatcherLoadRecord> records;
+    for (const auto &[key, entry] : m_entries) {
+        records.push_back({key.first, entry.load, entry.at, entry.outstanding, isAvoided(key.first, now)});
+    }
+    return records;
+}
+
 bool DispatcherLoads::hasRoom(const InstanceId &dispatcher, const std::string &service) const
 {
     const auto it = m_entries.find({dispatcher, service});
@@ -83,9 +98,8 @@
             continue;
         }
         const auto entry = m_entries.find({candidate.id, service});
-        const auto avoid = m_avoid.find(candidate.id);
         Option option{&candidate, entry == m_entries.end() ? Entry{} : entry->second, false, 0};
-        option.avoided = avoid != m_avoid.end() && now < avoid->second;
+        option.avoided = isAvoided(candidate.id, now);
         option.free = option.avoided ? 0 : freeSlots(option.entry);
         options.push_back(option);
     }
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -100,3 +100,17 @@
     BOOST_CHECK(choose({messina}) == catania);
     BOOST_CHECK(choose({palermo, catania, messina}) == std::nullopt);
 }
+
+// Guards against a dump that does not show what the choice was made from.
+BOOST_FIXTURE_TEST_CASE(dumpShowsWhatTheChoiceReads, Fixture)
+{
+    loads.update(palermo, loadOf(8), now);
+    loads.noteSent(palermo, "orders");
+    loads.avoidUntil(palermo, now + std::chrono::seconds(1));
+    const auto records = loads.dump(now);
+    BOOST_TEST_REQUIRE(records.size() == 1U);
+    BOOST_TEST(records[0].load.freeSlots == 8U);
+    BOOST_TEST(records[0].outstanding == 1U);
+    BOOST_TEST(records[0].avoided);
+    BOOST_TEST(!loads.dump(now + std::chrono::seconds(1))[0].avoided);
+}
