--- /dev/null
+++ b/include/laburnumspar/instancegroup.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "laburnumspar/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace laburnumspar {
+
+/// What an instance does at present.
+enum class InstanceRole : std::uint8_t {
+    Standby, ///< holds no state; serves what reaches it all the same
+    Spare, ///< holds all state and is ready to take over
+    Active, ///< named to callers
+    Leaving, ///< finishes what it has
+};
+
+template <>
+struct EnumNames<InstanceRole> {
+    static constexpr std::array<std::string_view, 4> Names{"standby", "spare", "active", "leaving"};
+};
+
+/// What an instance tells the others of itself.
+struct InstanceStatus {
+    std::string ip; ///< ports are the same on all instances
+    std::string zone;
+    std::uint64_t incarnation = 0; ///< rises with each start
+    InstanceRole role = InstanceRole::Standby;
+    std::uint16_t capacity = 0; ///< processor time that it may use, in thousandths of a core
+    std::uint16_t load = 0; ///< processor time in use, in thousandths of a core
+    std::uint64_t storeRevision = 0; ///< newest change that it knows
+    std::uint32_t storeAgeMs = 0; ///< time since it last heard from the store
+};
+
+/// The instances that this one knows, and the part that each of them plays.
+///
+/// A few instances of each zone are active, so that each of them sees enough of every upstream to judge it; one more
+/// is a spare. There is no election: each instance derives its own role from the instances that it hears. Two views
+/// that differ cost one active instance too many for a while.
+class InstanceGroup
+{
+public:
+    struct Limits {
+        Milliseconds silence{900}; ///< an active instance that is silent for longer is passed over
+        Milliseconds memberSilence{6000}; ///< the same for others
+        Milliseconds settleTime{1500}; ///< time after the start in which others are looked for
+        Milliseconds rankDelay{400}; ///< the next in rank waits so much longer before it takes over
+    };
+
+    InstanceGroup(InstanceStatus self, Limits limits, TimePoint now);
+
+    /// Heard from an instance itself.
+    void hear(const InstanceStatus &status, TimePoint now);
+    /// Heard of an instance from another one, `age` ago.
+    void hearOf(const InstanceStatus &status, Milliseconds age, TimePoint now);
+    /// An instance that was asked did not answer.
+    void suspect(const std::string &ip, TimePoint now);
+    /// Decides the own role. Never leaves `Leaving`.
+    InstanceRole decideRole(TimePoint now);
+    void leave();
+
+    InstanceStatus &self()
+    {
+        return m_self;
+    }
+    const InstanceStatus &self() const
+    {
+        return m_self;
+    }
+    /// Active instances which are heard; of one zone unless that is empty. Contains this one if it is active.
+    std::vector<InstanceStatus> actives(const std::string &zone, TimePoint now) const;
+    /// All instances that are believed to live, without this one.
+    std::vector<InstanceStatus> members(TimePoint now) const;
+    /// Age of what is known of a member.
+    Milliseconds ageOf(const std::string &ip, TimePoint now) const;
+    /// Addresses for callers in a zone, by preference: active ones there, spares there, active ones elsewhere.
+    std::vector<std::string> addressesFor(const std::string &zone, TimePoint now) const;
+    /// Active instance that reads the store for all: the first by rank that has read it lately.
+    bool readsStore(TimePoint now) const;
+
+    /// Number of active instances that the own zone needs.
+    std::size_t activesWanted(TimePoint now) const;
+
+private:
+    struct Member {
+        InstanceStatus status;
+        TimePoint heard;
+    };
+
+    bool isHeard(const Member &member, TimePoint now) const;
+    /// Members and this one, the preferred ones first.
+    std::vector<InstanceStatus> ranked(const std::string &zone, TimePoint now) const;
+    InstanceRole roleOf(const std::vector<InstanceStatus> &zoneMembers, TimePoint now);
+
+    InstanceStatus m_self;
+    Limits m_limits;
+    TimePoint m_started;
+    std::map<std::string, Member> m_members;
+    std::optional<TimePoint> m_shortSince; ///< since when the zone has too few active instances
+};
+
+} // namespace laburnumspar
--- /dev/null
+++ b/src/gateway/callerserver.cpp
@@ -0,0 +1,343 @@
+#include "gateway/callerserver.h"
+
+#include "laburnumspar/log.h"
+
+#include <sys/socket.h>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+/// Descriptors are few; connections beyond this are closed at once.
+constexpr std::size_t MaxConnections = 3000;
+/// Callers may use a connection until just before the idle limit.
+constexpr Milliseconds IdleMargin{500};
+constexpr Milliseconds WriteTimeout{20'000};
+
+bool hasBeenClosed(tcp::socket &socket)
+{
+    char byte = 0;
+    const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+} // namespace
+
+struct CallerServer::State {
+    asio::io_context &context;
+    Forwarder &forwarder;
+    const ServiceBoard &board;
+    const ForwardingHeaders &headers;
+    std::function<void()> onRequest;
+    std::set<Session *> sessions;
+    bool closing = false;
+
+    CallerLimits limits() const
+    {
+        return board.routes() ? board.routes()->limits() : CallerLimits();
+    }
+};
+
+/// One connection of a caller.
+class CallerServer::Session : public std::enable_shared_from_this<CallerServer::Session>
+{
+public:
+    Session(std::shared_ptr<State> state, tcp::socket socket)
+        : m_state(std::move(state))
+        , m_socket(std::move(socket))
+        , m_timer(m_state->context)
+    {
+        m_state->sessions.insert(this);
+    }
+    ~Session()
+    {
+        m_state->sessions.erase(this);
+    }
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
+    void waitForRequest()
+    {
+        m_phase = Phase::Idle;
+        if (m_buf.size() > 0) {
+            readHeader();
+            return;
+        }
+        m_idleSince = Clock::now();
+        armIdleTimer();
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+            self->m_timer.cancel();
+            if (!ec && self->m_phase == Phase::Idle) {
+                self->readHeader();
+            }
+        });
+    }
+
+    void closeIfIdle()
+    {
+        if (m_phase == Phase::Idle) {
+            close();
+        }
+    }
+
+    bool isBusy() const
+    {
+        return m_phase == Phase::Reading || m_phase == Phase::Waiting || m_phase == Phase::Writing;
+    }
+
+private:
+    enum class Phase : std::uint8_t {
+        Idle,
+        Reading,
+        Waiting, ///< for an upstream
+        Writing,
+        Closed,
+    };
+
+    void armIdleTimer()
+    {
+        m_timer.expires_at(m_idleSince + m_state->limits().idleTimeout + IdleMargin);
+        m_timer.async_wait([self = shared_from_this()](error_code ec) {
+            if (ec || self->m_phase != Phase::Idle) {
+                return;
+            }
+            // The limit may have been raised in the meantime.
+            if (Clock::now() - self->m_idleSince >= self->m_state->limits().idleTimeout + IdleMargin) {
+                self->close();
+            } else {
+                self->armIdleTimer();
+            }
+        });
+    }
+
+    void readHeader()
+    {
+        m_phase = Phase::Reading;
+        const auto limits = m_state->limits();
+        m_parser.emplace();
+        m_parser->header_limit(std::uint32_t(limits.headerBytes));
+        m_parser->body_limit(limits.bodyBytes);
+        m_timer.expires_after(limits.headerTimeout);
+        m_timer.async_wait([self = shared_from_this()](error_code ec) {
+            if (!ec && self->m_phase == Phase::Reading) {
+                self->refuse(http::status::request_timeout, "header not received in time");
+            }
+        });
+        http::async_read_header(m_socket, m_buf, *m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
+            self->onHeader(ec);
+        });
+    }
+
+    void onHeader(error_code ec)
+    {
+        if (m_phase != Phase::Reading) {
+            return;
+        }
+        m_timer.cancel();
+        if (ec) {
+            refuseBadInput(ec);
+            return;
+        }
+        if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+            static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+            asio::async_write(
+                m_socket, asio::buffer(Continue), [self = shared_from_this()](error_code writeError, std::size_t) {
+                    writeError ? self->close() : self->readBody();
+                });
+            return;
+        }
+        readBody();
+    }
+
+    void readBody()
+    {
+        if (m_parser->is_done()) {
+            onMessage();
+            return;
+        }
+        // A caller that stops in the middle of a body would hold its memory for ever.
+        m_timer.expires_after(std::max(m_state->limits().idleTimeout, Milliseconds(5000)));
+        m_timer.async_wait([self = shared_from_this()](error_code ec) {
+            if (!ec && self->m_phase == Phase::Reading) {
+                self->refuse(http::status::request_timeout, "body not received in time");
+            }
+        });
+        http::async_read(m_socket, m_buf, *m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
+            if (self->m_phase != Phase::Reading) {
+                return;
+            }
+            self->m_timer.cancel();
+            ec ? self->refuseBadInput(ec) : self->onMessage();
+        });
+    }
+
+    void onMessage()
+    {
+        m_phase = Phase::Waiting;
+        m_state->onRequest();
+        auto message = m_parser->release();
+        m_keepAlive = message.keep_alive();
+        m_headOnly = message.method() == http::verb::head;
+        m_forwarding = m_state->forwarder.forward(makeForwarded(std::move(message), m_state->headers, Clock::now()),
+                                                  [weak = weak_from_this()](CallerAnswer answer) {
+                                                      if (const auto self = weak.lock();
+                                                          self && self->m_phase == Phase::Waiting) {
+                                                          self->write(std::move(answer), !self->m_keepAlive);
+                                                      }
+                                                  });
+        watchForClose();
+    }
+
+    // A caller that closes its connection is not waiting any more. One that sends its next request early is still
+    // there; its closing is noticed when the answer is written.
+    void watchForClose()
+    {
+        if (m_buf.size() > 0) {
+            return;
+        }
+        m_watching = true;
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+            self->m_watching = false;
+            if (self->m_phase == Phase::Waiting && !ec && hasBeenClosed(self->m_socket)) {
+                if (self->m_forwarding) {
+                    self->m_forwarding->abandon();
+                }
+                self->close();
+            }
+        });
+    }
+
+    void write(CallerAnswer answer, bool closeAfter)
+    {
+        m_phase = Phase::Writing;
+        if (m_watching) {
+            // The operation that watches for the close would take the start of the next request for it.
+            error_code ignored;
+            m_socket.cancel(ignored);
+        }
+        m_forwarding.reset();
+        m_closeAfter = closeAfter || m_state->closing;
+        m_head = callerHead(answer, m_closeAfter);
+        m_body = m_headOnly ? std::string() : std::move(answer.body);
+        m_timer.expires_after(WriteTimeout);
+        m_timer.async_wait([self = shared_from_this()](error_code ec) {
+            if (!ec && self->m_phase == Phase::Writing) {
+                self->close();
+            }
+        });
+        const std::array<asio::const_buffer, 2> bufs{asio::buffer(m_head), asio::buffer(m_body)};
+        asio::async_write(m_socket, bufs, [self = shared_from_this()](error_code ec, std::size_t) {
+            self->m_timer.cancel();
+            self->m_body = {};
+            if (ec || self->m_closeAfter) {
+                self->close();
+            } else {
+                self->waitForRequest();
+            }
+        });
+    }
+
+    void refuse(http::status status, std::string_view detail)
+    {
+        if (m_phase != Phase::Reading) {
+            return;
+        }
+        const auto &partial = m_parser->get();
+        const auto id = partial[m_state->headers.requestId];
+        logEvent(
+            LogLevel::Info,
+            "request.refused",
+            {{"request", std::string_view(id.data(), id.size())}, {"status", unsigned(status)}, {"reason", detail}});
+        m_headOnly = false;
+        write(ownAnswer(status, detail, {id.data(), id.size()}, m_state->headers, Milliseconds(0)), true);
+    }
+
+    void refuseBadInput(error_code ec)
+    {
+        if (ec == http::error::header_limit) {
+            refuse(http::status::request_header_fields_too_large, "header is too large");
+        } else if (ec == http::error::body_limit) {
+            refuse(http::status::payload_too_large, "body is too large");
+        } else if (ec.category() == error_code(http::error::bad_method).category() && ec != http::error::end_of_stream
+                   && ec != http::error::partial_message) {
+            refuse(http::status::bad_request, ec.message());
+        } else {
+            close();
+        }
+    }
+
+    void close()
+    {
+        m_phase = Phase::Closed;
+        m_timer.cancel();
+        error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        m_socket.close(ignored);
+    }
+
+    std::shared_ptr<State> m_state;
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    beast::flat_buffer m_buf;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::shared_ptr<Forwarding> m_forwarding;
+    std::string m_head;
+    std::string m_body;
+    TimePoint m_idleSince;
+    Phase m_phase = Phase::Idle;
+    bool m_keepAlive = true;
+    bool m_headOnly = false;
+    bool m_closeAfter = false;
+    bool m_watching = false;
+};
+
+CallerServer::CallerServer(asio::io_context &context,
+                           const Endpoint &endpoint,
+                           Forwarder &forwarder,
+                           const ServiceBoard &board,
+                           const ForwardingHeaders &headers,
+                           std::function<void()> onRequest)
+    : m_state(std::make_shared<State>(State{context, forwarder, board, headers, std::move(onRequest), {}, false}))
+    , m_listener(context, endpoint, [state = m_state](tcp::socket socket) {
+        if (state->sessions.size() < MaxConnections) {
+            std::make_shared<Session>(state, std::move(socket))->waitForRequest();
+        } else {
+            logEvent(LogLevel::Warning, "caller.connection-limit", {{"limit", MaxConnections}});
+        }
+    })
+{
+}
+
+CallerServer::~CallerServer() = default;
+
+void CallerServer::start()
+{
+    m_listener.start();
+}
+
+void CallerServer::startClosing()
+{
+    m_state->closing = true;
+}
+
+void CallerServer::close()
+{
+    m_state->closing = true;
+    m_listener.close();
+    for (auto *session : std::vector<Session *>(m_state->sessions.begin(), m_state->sessions.end())) {
+        session->closeIfIdle();
+    }
+}
+
+std::size_t CallerServer::connections() const
+{
+    return m_state->sessions.size();
+}
+
+std::size_t CallerServer::busy() const
+{
+    return std::size_t(std::count_if(
+        m_state->sessions.begin(), m_state->sessions.end(), [](const auto *session) { return session->isBusy(); }));
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/gateway/forwarding.cpp
@@ -0,0 +1,489 @@
+#include "gateway/forwarding.h"
+
+#include "laburnumspar/log.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+/// A second attempt starts when the first one runs longer than this share of its kind.
+constexpr double HedgeQuantile = 0.9;
+/// Time between tries to start a second attempt while no upstream has a free slot.
+constexpr Milliseconds HedgeRetry{60};
+/// Share of the work that ends within the time that a request must have left to be started.
+constexpr double LeastTimeQuantile = 0.3;
+constexpr Milliseconds LeastRetryAfter{100};
+constexpr Milliseconds MostRetryAfter{2000};
+/// An attempt that was given up earlier says nothing of its upstream.
+constexpr double SilenceQuantile = 0.9;
+
+std::optional<ReportedLoad> loadOf(beast::string_view value)
+{
+    ReportedLoad load;
+    const char *at = value.data();
+    const char *end = at + value.size();
+    for (unsigned *number : {&load.running, &load.waiting, &load.slots}) {
+        const auto [next, ec] = std::from_chars(at, end, *number);
+        if (ec != std::errc()) {
+            return std::nullopt;
+        }
+        at = next < end && *next == ',' ? next + 1 : next;
+    }
+    return load;
+}
+
+/// Statuses that promise the caller that its request has not run.
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+Forwarder::Forwarder(asio::io_context &context,
+                     ServiceBoard &board,
+                     const ForwardingHeaders &headers,
+                     MetricsRegistry &metrics)
+    : m_context(context)
+    , m_board(board)
+    , m_headers(headers)
+    , m_metrics(metrics)
+    , m_links(context, headers)
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+std::shared_ptr<Forwarding> Forwarder::forward(ForwardedRequest request, Handler handler)
+{
+    const auto &table = m_board.routes();
+    const auto answerSoon = [&](http::status status, std::string_view detail, Milliseconds retryAfter) {
+        logEvent(LogLevel::Info,
+                 "request.refused",
+                 {{"request", request.id},
+                  {"target", request.target},
+                  {"routes", table ? table->version() : 0},
+                  {"status", unsigned(status)},
+                  {"reason", detail}});
+        m_metrics.counter("lspar_requests_refused_total", {{"reason", std::string(detail)}}).add();
+        asio::post(m_context,
+                   [handler = std::move(handler),
+                    answer = ownAnswer(status, detail, request.id, m_headers, retryAfter)]() mutable {
+                       handler(std::move(answer));
+                   });
+    };
+    if (!table) {
+        answerSoon(http::status::service_unavailable, "no routes known yet", MostRetryAfter / 4);
+        return nullptr;
+    }
+    const auto *route = table->match(request.host, request.target);
+    if (route == nullptr) {
+        answerSoon(http::status::not_found, "no route for this host and path", Milliseconds(0));
+        return nullptr;
+    }
+    auto service = m_board.nextService(*route);
+    auto forwarding = std::make_shared<Forwarding>(
+        *this, std::move(request), table, *route, std::move(service), std::move(handler));
+    asio::post(m_context, [forwarding] { forwarding->start(); });
+    return forwarding;
+}
+
+void Forwarder::dispatchWaiting(ServiceLine &line)
+{
+    const auto now = Clock::now();
+    while (const auto place = line.waiting.front()) {
+        const auto it = m_waiting.find(place->ticket);
+        const auto forwarding = it == m_waiting.end() ? nullptr : it->second.lock();
+        if (!forwarding) {
+            line.waiting.remove(*place);
+            continue;
+        }
+        if (!forwarding->tryStart(now)) {
+            return;
+        }
+    }
+}
+
+void Forwarder::tick(TimePoint now)
+{
+    std::vector<std::shared_ptr<Forwarding>> waiting;
+    for (const auto &[ticket, weak] : m_waiting) {
+        if (auto forwarding = weak.lock()) {
+            waiting.push_back(std::move(forwarding));
+        }
+    }
+    for (const auto &forwarding : waiting) {
+        forwarding->checkWait(now);
+    }
+    for (auto &[service, line] : m_board.lines()) {
+        dispatchWaiting(*line);
+    }
+    m_links.prune(now);
+}
+
+Forwarding::Forwarding(Forwarder &forwarder,
+                       ForwardedRequest request,
+                       std::shared_ptr<const RouteTable> table,
+                       const Route &route,
+                       std::string service,
+                       Forwarder::Handler handler)
+    : m_forwarder(forwarder)
+    , m_request(std::move(request))
+    , m_table(std::move(table))
+    , m_route(route)
+    , m_line(forwarder.m_board.line(service))
+    , m_latency(forwarder.m_board.latency(route))
+    , m_handler(std::move(handler))
+    , m_deadlineTimer(forwarder.m_context)
+    , m_hedgeTimer(forwarder.m_context)
+    , m_deadline(route.timeout.count() > 0 ? std::min(m_request.deadline, m_request.arrived + route.timeout)
+                                           : m_request.deadline)
+{
+    ++m_forwarder.m_inFlight;
+}
+
+Forwarding::~Forwarding()
+{
+    --m_forwarder.m_inFlight;
+}
+
+void Forwarding::start()
+{
+    if (m_gone) {
+        return;
+    }
+    const auto now = Clock::now();
+    m_line.budget.noteAttempt(now);
+    m_deadlineTimer.expires_at(m_deadline);
+    m_deadlineTimer.async_wait([weak = weak_from_this()](error_code ec) {
+        const auto self = weak.lock();
+        if (!ec && self) {
+            self->onDeadline();
+        }
+    });
+    // Nobody overtakes a request that waits already and is as urgent.
+    const auto front = m_line.waiting.front();
+    if (front && front->priority <= m_route.priority) {
+        wait(now);
+        m_forwarder.dispatchWaiting(m_line);
+    } else if (!tryStart(now)) {
+        wait(now);
+    }
+}
+
+bool Forwarding::tryStart(TimePoint now)
+{
+    const auto choice = m_line.pool.start({&m_latency, m_route.idempotent, m_tried}, now);
+    if (!choice) {
+        return false;
+    }
+    stopWaiting();
+    launch(*choice, now);
+    return true;
+}
+
+void Forwarding::wait(TimePoint now)
+{
+    if (m_line.pool.empty()) {
+        refuse("no upstream known", now);
+        return;
+    }
+    if (m_place) {
+        return;
+    }
+    const auto objective = m_route.objective.count() > 0 ? m_route.objective : Milliseconds(1000);
+    m_place = WaitingLine::Place{m_route.priority, m_request.arrived + objective, m_forwarder.m_nextTicket++};
+    m_line.waiting.add(*m_place);
+    m_forwarder.m_waiting[m_place->ticket] = weak_from_this();
+    checkWait(now);
+}
+
+void Forwarding::stopWaiting()
+{
+    if (m_place) {
+        m_line.waiting.remove(*m_place);
+        m_forwarder.m_waiting.erase(m_place->ticket);
+        m_place.reset();
+    }
+}
+
+void Forwarding::checkWait(TimePoint now)
+{
+    if (!m_place) {
+        return;
+    }
+    const auto expected = expectedWait(m_line.waiting.ahead(*m_place), m_line.pool.slots(), m_latency.meanSeconds());
+    if (now + expected + m_latency.quantile(LeastTimeQuantile) > m_deadline) {
+        refuse("no slot within the deadline", now);
+    }
+}
+
+Milliseconds Forwarding::left(TimePoint now) const
+{
+    return std::chrono::duration_cast<Milliseconds>(m_deadline - now);
+}
+
+void Forwarding::launch(const UpstreamPool::Choice &choice, TimePoint now)
+{
+    const auto &upstream = choice.upstream;
+    UpstreamLinks::Order order;
+    order.address = upstream.address;
+    order.identity = upstream.id;
+    order.head = upstreamHead(m_request, m_forwarder.m_headers, upstream.id, left(now));
+    order.body = m_request.body;
+    order.requestId = m_request.id;
+    order.headOnly = m_request.method == "HEAD";
+    order.idempotent = m_route.idempotent;
+    ++m_runs;
+    m_tried.push_back(upstream.id);
+    // The exchange holds the request, so that work which must not be repeated is read to its end also when the caller
+    // has gone.
+    auto exchange = m_forwarder.m_links.send(std::move(order),
+                                             [self = shared_from_this(), id = choice.attempt](ExchangeResult result) {
+                                                 self->onResult(id, std::move(result));
+                                             });
+    m_attempts.push_back({choice.attempt, upstream.id, now, choice.suspicion, std::move(exchange)});
+    armHedge(now);
+}
+
+void Forwarding::onResult(UpstreamPool::AttemptId id, ExchangeResult result)
+{
+    const auto now = Clock::now();
+    const auto it
+        = std::find_if(m_attempts.begin(), m_attempts.end(), [id](const Attempt &attempt) { return attempt.id == id; });
+    if (it == m_attempts.end()) {
+        return;
+    }
+    const Attempt attempt = std::move(*it);
+    m_attempts.erase(it);
+    const auto &names = m_forwarder.m_headers;
+    auto &message = result.message;
+    const auto status = message.result_int();
+    const auto load = result.end == ExchangeEnd::Answered ? loadOf(message[names.load]) : std::nullopt;
+    const auto end = [&](AttemptEnd attemptEnd, std::string_view detail) {
+        m_line.pool.finish(id, attemptEnd, load, now);
+        logAttempt(attempt, attemptEnd, status, detail, now);
+    };
+    if (result.end == ExchangeEnd::NotSent) {
+        end(AttemptEnd::Unreachable, result.failure);
+        onNotRun(attempt, AttemptEnd::Unreachable, now);
+    } else if (result.end == ExchangeEnd::Lost) {
+        end(AttemptEnd::Failure, result.failure);
+        onFailed(now);
+    } else if (message.find(names.notRun) != message.end() || status == 421) {
+        const auto attemptEnd = status == 503 || status == 429 ? AttemptEnd::Full : AttemptEnd::Refused;
+        end(attemptEnd, "not run");
+        if (status == 421) {
+            m_forwarder.m_board.noteForeignIdentity(attempt.upstream);
+            m_forwarder.m_links.forget(attempt.upstream);
+        }
+        onNotRun(attempt, attemptEnd, now);
+    } else if (!result.identified || message.find(names.signature) == message.end()
+               || message.find(http::field::content_encoding) != message.end()) {
+        end(AttemptEnd::Failure, "answer is not the upstream's own");
+        onFailed(now);
+    } else if (status >= 500 || promisesNotRun(status)) {
+        end(AttemptEnd::Failure, "upstream failed");
+        // A status that promises that nothing ran is true only with the header that says so.
+        m_failureAnswer = promisesNotRun(status)
+            ? ownAnswer(http::status::bad_gateway, "upstream failed", m_request.id, names, Milliseconds(0))
+            : answerOf(std::move(message), m_request.method == "HEAD", names);
+        onFailed(now);
+    } else {
+        end(AttemptEnd::Success, "");
+        m_latency.record(now - attempt.started);
+        answer(answerOf(std::move(message), m_request.method == "HEAD", names), Outcome::Answered, "", now);
+    }
+    m_forwarder.dispatchWaiting(m_line);
+}
+
+void Forwarding::onNotRun(const Attempt &attempt, AttemptEnd end, TimePoint now)
+{
+    --m_runs;
+    if (end == AttemptEnd::Full) {
+        // It may have room later.
+        std::erase(m_tried, attempt.upstream);
+    }
+    if (!m_handler || !m_attempts.empty()) {
+        return;
+    }
+    if (m_runs > 0) {
+        onFailed(now);
+        return;
+    }
+    // An upstream that was not reached has not counted the request.
+    if (end != AttemptEnd::Unreachable && !m_line.budget.trySpend(now)) {
+        refuse("repeat budget is spent", now);
+    } else if (!tryStart(now)) {
+        wait(now);
+    }
+}
+
+void Forwarding::onFailed(TimePoint now)
+{
+    if (!m_handler || !m_attempts.empty() || startSecond(now)) {
+        return;
+    }
+    if (m_failureAnswer) {
+        answer(std::move(*m_failureAnswer), Outcome::MayHaveRun, "upstream failed", now);
+    } else {
+        giveUp(http::status::bad_gateway, "no whole answer of the upstream", now);
+    }
+}
+
+bool Forwarding::startSecond(TimePoint now)
+{
+    if (!m_route.idempotent || m_runs >= m_route.attempts || left(now) <= LeastRetryAfter) {
+        return false;
+    }
+    // The budget is spent only once an upstream has a slot.
+    if (m_line.pool.freeSlots(now) < 1 || !m_line.budget.trySpend(now)) {
+        return false;
+    }
+    return tryStart(now);
+}
+
+void Forwarding::armHedge(TimePoint now)
+{
+    if (!m_route.idempotent || m_runs >= m_route.attempts) {
+        return;
+    }
+    m_hedgeTimer.expires_at(now + m_latency.quantile(HedgeQuantile));
+    m_hedgeTimer.async_wait([weak = weak_from_this()](error_code ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->m_handler) {
+            self->onHedgeTime();
+        }
+    });
+}
+
+void Forwarding::onHedgeTime()
+{
+    const auto now = Clock::now();
+    if (m_attempts.empty() || startSecond(now) || m_runs >= m_route.attempts) {
+        return;
+    }
+    m_hedgeTimer.expires_at(now + HedgeRetry);
+    m_hedgeTimer.async_wait([weak = weak_from_this()](error_code ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->m_handler) {
+            self->onHedgeTime();
+        }
+    });
+}
+
+void Forwarding::onDeadline()
+{
+    const auto now = Clock::now();
+    if (!m_handler) {
+        endAttempts(now);
+        return;
+    }
+    if (m_runs == 0) {
+        refuse("no slot within the deadline", now);
+        return;
+    }
+    if (m_failureAnswer) {
+        answer(std::move(*m_failureAnswer), Outcome::MayHaveRun, "upstream failed", now);
+        return;
+    }
+    giveUp(http::status::gateway_timeout, "no answer of the upstream in time", now);
+}
+
+void Forwarding::refuse(std::string_view detail, TimePoint now)
+{
+    const auto wait = expectedWait(m_line.waiting.size(), m_line.pool.slots(), m_latency.meanSeconds());
+    const auto retryAfter = std::clamp(wait, LeastRetryAfter, MostRetryAfter);
+    answer(ownAnswer(http::status::service_unavailable, detail, m_request.id, m_forwarder.m_headers, retryAfter),
+           Outcome::NotRun,
+           detail,
+           now);
+}
+
+void Forwarding::giveUp(http::status status, std::string_view detail, TimePoint now)
+{
+    answer(ownAnswer(status, detail, m_request.id, m_forwarder.m_headers, Milliseconds(0)),
+           Outcome::MayHaveRun,
+           detail,
+           now);
+}
+
+void Forwarding::answer(CallerAnswer answer, Outcome outcome, std::string_view detail, TimePoint now)
+{
+    stopWaiting();
+    endAttempts(now);
+    m_deadlineTimer.cancel();
+    m_hedgeTimer.cancel();
+    const auto handler = std::exchange(m_handler, nullptr);
+    if (!handler) {
+        return;
+    }
+    const auto ms = std::chrono::duration<double, std::milli>(now - m_request.arrived).count();
+    logEvent(LogLevel::Info,
+             "request.done",
+             {{"request", m_request.id},
+              {"route", m_route.name},
+              {"routes", m_table->version()},
+              {"service", m_line.name},
+              {"outcome", name(outcome)},
+              {"status", answer.status},
+              {"reason", detail},
+              {"runs", m_runs},
+              {"ms", ms}});
+    auto &metrics = m_forwarder.m_metrics;
+    metrics.counter("lspar_requests_total", {{"service", m_line.name}, {"outcome", std::string(name(outcome))}}).add();
+    metrics.distribution("lspar_request_seconds", {{"service", m_line.name}}).record(ms / 1000, now);
+    handler(std::move(answer));
+}
+
+void Forwarding::endAttempts(TimePoint now)
+{
+    auto attempts = std::exchange(m_attempts, {});
+    for (const auto &attempt : attempts) {
+        const bool late = now - attempt.started > m_latency.quantile(SilenceQuantile);
+        const bool own = now >= m_deadline && late;
+        const auto end = own ? AttemptEnd::Silence : AttemptEnd::Abandoned;
+        m_line.pool.finish(attempt.id, end, std::nullopt, now);
+        attempt.exchange->cancel();
+        logAttempt(attempt, end, 0, own ? "no answer in time" : "answered elsewhere or caller gone", now);
+    }
+}
+
+void Forwarding::abandon()
+{
+    m_gone = true;
+    if (!m_handler) {
+        return;
+    }
+    const auto now = Clock::now();
+    logEvent(LogLevel::Info, "request.abandoned", {{"request", m_request.id}, {"runs", m_runs}});
+    m_handler = nullptr;
+    stopWaiting();
+    m_hedgeTimer.cancel();
+    // Work that must not be repeated is left to finish: its effect is wanted although nobody waits for the answer.
+    if (m_route.idempotent) {
+        m_deadlineTimer.cancel();
+        endAttempts(now);
+        m_forwarder.dispatchWaiting(m_line);
+    }
+}
+
+void Forwarding::logAttempt(
+    const Attempt &attempt, AttemptEnd end, unsigned status, std::string_view detail, TimePoint now) const
+{
+    const auto ms = std::chrono::duration<double, std::milli>(now - attempt.started).count();
+    logEvent(LogLevel::Info,
+             "attempt.done",
+             {{"request", m_request.id},
+              {"upstream", attempt.upstream},
+              {"suspicion", attempt.suspicion},
+              {"end", name(end)},
+              {"status", status},
+              {"detail", detail},
+              {"ms", ms}});
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/gateway/forwarding.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "gateway/httptext.h"
+#include "gateway/serviceboard.h"
+#include "gateway/upstreamlinks.h"
+#include "laburnumspar/metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace laburnumspar::detail {
+
+class Forwarding;
+
+/// What all requests of an instance share.
+class Forwarder
+{
+public:
+    using Handler = std::function<void(CallerAnswer)>;
+
+    Forwarder(asio::io_context &context,
+              ServiceBoard &board,
+              const ForwardingHeaders &headers,
+              MetricsRegistry &metrics);
+    ~Forwarder();
+    Forwarder(const Forwarder &) = delete;
+    Forwarder &operator=(const Forwarder &) = delete;
+
+    /// Answers at once where no route fits. The handler is called once, never from within this call.
+    std::shared_ptr<Forwarding> forward(ForwardedRequest request, Handler handler);
+    /// Gives free slots to waiting requests.
+    void dispatchWaiting(ServiceLine &line);
+    /// The same for all services; refuses those that wait in vain.
+    void tick(TimePoint now);
+    UpstreamLinks &links()
+    {
+        return m_links;
+    }
+    std::size_t inFlight() const
+    {
+        return m_inFlight;
+    }
+
+private:
+    friend class Forwarding;
+
+    asio::io_context &m_context;
+    ServiceBoard &m_board;
+    const ForwardingHeaders &m_headers;
+    MetricsRegistry &m_metrics;
+    UpstreamLinks m_links;
+    std::map<WaitingLine::Ticket, std::weak_ptr<Forwarding>> m_waiting;
+    WaitingLine::Ticket m_nextTicket = 1;
+    std::size_t m_inFlight = 0;
+};
+
+/// One request of a caller on its way to an answer.
+class Forwarding : public std::enable_shared_from_this<Forwarding>
+{
+public:
+    Forwarding(Forwarder &forwarder,
+               ForwardedRequest request,
+               std::shared_ptr<const RouteTable> table,
+               const Route &route,
+               std::string service,
+               Forwarder::Handler handler);
+    ~Forwarding();
+    Forwarding(const Forwarding &) = delete;
+    Forwarding &operator=(const Forwarding &) = delete;
+
+    void start();
+    /// The caller has gone.
+    void abandon();
+    /// A slot may be free. True if the request does not wait any more.
+    bool tryStart(TimePoint now);
+    /// Refuses the request if it cannot be answered in time any more.
+    void checkWait(TimePoint now);
+
+private:
+    struct Attempt {
+        UpstreamPool::AttemptId id = 0;
+        std::string upstream;
+        TimePoint started;
+        double suspicion = 0;
+        std::shared_ptr<Exchange> exchange;
+    };
+
+    Milliseconds left(TimePoint now) const;
+    void launch(const UpstreamPool::Choice &choice, TimePoint now);
+    void wait(TimePoint now);
+    void stopWaiting();
+    void onResult(UpstreamPool::AttemptId id, ExchangeResult result);
+    void onNotRun(const Attempt &attempt, AttemptEnd end, TimePoint now);
+    void onFailed(TimePoint now);
+    void armHedge(TimePoint now);
+    void onHedgeTime();
+    bool startSecond(TimePoint now);
+    void onDeadline();
+    void refuse(std::string_view detail, TimePoint now);
+    void giveUp(http::status status, std::string_view detail, TimePoint now);
+    void answer(CallerAnswer answer, Outcome outcome, std::string_view detail, TimePoint now);
+    void endAttempts(TimePoint now);
+    void
+    logAttempt(const Attempt &attempt, AttemptEnd end, unsigned status, std::string_view detail, TimePoint now) const;
+
+    Forwarder &m_forwarder;
+    ForwardedRequest m_request;
+    std::shared_ptr<const RouteTable> m_table; ///< keeps the route
+    const Route &m_route;
+    ServiceLine &m_line;
+    LatencyModel &m_latency;
+    Forwarder::Handler m_handler;
+    asio::steady_timer m_deadlineTimer;
+    asio::steady_timer m_hedgeTimer;
+    TimePoint m_deadline;
+    std::vector<Attempt> m_attempts;
+    std::vector<std::string> m_tried;
+    std::optional<WaitingLine::Place> m_place;
+    std::optional<CallerAnswer> m_failureAnswer; ///< of an upstream that ran the request and failed
+    unsigned m_runs = 0; ///< attempts which may have run
+    bool m_gone = false;
+};
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/gateway/groupmessages.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "laburnumspar/instancegroup.h"
+#include "laburnumspar/storemirror.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace laburnumspar::detail {
+
+using Bytes = std::vector<std::uint8_t>;
+
+/// An instance that the sender has heard of.
+struct HeardInstance {
+    InstanceStatus status; ///< without what changes fast: load, revision and age of the store
+    Milliseconds age{0};
+};
+
+/// An upstream that the sender judges to fail its work.
+struct UpstreamSuspicion {
+    std::string service;
+    std::string id;
+    float level = 0;
+};
+
+/// Datagram between instances.
+struct GroupBeat {
+    InstanceStatus sender;
+    bool answerWanted = false;
+    std::vector<HeardInstance> heard;
+    std::vector<UpstreamSuspicion> suspicions;
+};
+
+/// Most instances in one datagram; more do not fit 1,400 bytes.
+constexpr std::size_t MaxHeardInstances = 60;
+
+/// `zones`: names in an order that all instances share.
+Bytes encodeBeat(const GroupBeat &beat, const std::vector<std::string> &zones);
+/// Throws DecodeError.
+GroupBeat decodeBeat(std::span<const std::uint8_t> bytes, const std::vector<std::string> &zones);
+
+/// Items of the store that changed after the revision which the reader asked for.
+struct MirrorChanges {
+    std::uint64_t revision = 0; ///< the sender knows all changes up to this one
+    std::vector<StoreItem> items;
+};
+
+Bytes encodeChanges(const MirrorChanges &changes);
+/// Throws DecodeError.
+MirrorChanges decodeChanges(std::span<const std::uint8_t> bytes);
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/gateway/httpchannel.cpp
@@ -0,0 +1,61 @@
+#include "gateway/httpchannel.h"
+
+namespace laburnumspar::detail {
+
+namespace {
+
+constexpr std::uint64_t MaxReplyBytes = 16 << 20;
+
+} // namespace
+
+HttpChannel::HttpChannel(asio::io_context &context, Endpoint server)
+    : m_context(context)
+    , m_server(std::move(server))
+{
+}
+
+awaitable<ChannelReply> HttpChannel::get(const std::string &target, Milliseconds timeout)
+{
+    const bool kept = m_stream != nullptr;
+    if (!kept) {
+        m_stream = std::make_unique<beast::tcp_stream>(m_context);
+        m_buf.clear();
+        m_stream->expires_after(timeout);
+        auto [ec] = co_await m_stream->async_connect(toAsio<tcp>(m_server), Awaitable);
+        if (ec) {
+            m_stream.reset();
+            co_return ChannelReply{0, {}, ec.message()};
+        }
+        error_code ignored;
+        m_stream->socket().set_option(tcp::no_delay(true), ignored);
+    }
+    m_stream->expires_after(timeout);
+    auto reply = co_await exchange(target);
+    if (reply.status == 0) {
+        m_stream.reset();
+    }
+    co_return reply;
+}
+
+awaitable<ChannelReply> HttpChannel::exchange(const std::string &target)
+{
+    http::request<http::empty_body> request{http::verb::get, target, 11};
+    request.set(http::field::host, toString(m_server));
+    auto [writeError, written] = co_await http::async_write(*m_stream, request, Awaitable);
+    if (writeError) {
+        co_return ChannelReply{0, {}, writeError.message()};
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(MaxReplyBytes);
+    auto [readError, n] = co_await http::async_read(*m_stream, m_buf, parser, Awaitable);
+    if (readError) {
+        co_return ChannelReply{0, {}, readError.message()};
+    }
+    ChannelReply reply{parser.get().result_int(), std::move(parser.get().body()), {}};
+    if (!parser.keep_alive()) {
+        m_stream.reset();
+    }
+    co_return reply;
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/gateway/httptext.cpp
@@ -0,0 +1,158 @@
+#include "gateway/httptext.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+/// Headers that concern one connection only, or that are written anew.
+bool concernsConnection(http::field field)
+{
+    switch (field) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+    case http::field::expect:
+    case http::field::host:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool namedInConnection(beast::string_view connection, beast::string_view name)
+{
+    return !connection.empty() && http::token_list(connection).exists(name);
+}
+
+template <typename Fields, typename Skip>
+std::string endToEndHeaders(const Fields &fields, Skip &&skip)
+{
+    const auto connection = fields[http::field::connection];
+    std::string lines;
+    for (const auto &field : fields) {
+        if (concernsConnection(field.name()) || namedInConnection(connection, field.name_string())
+            || skip(field.name_string())) {
+            continue;
+        }
+        lines.append(field.name_string().data(), field.name_string().size());
+        lines += ": ";
+        lines.append(field.value().data(), field.value().size());
+        lines += "\r\n";
+    }
+    return lines;
+}
+
+bool equals(beast::string_view a, const std::string &b)
+{
+    return beast::iequals(a, b);
+}
+
+std::string text(beast::string_view view)
+{
+    return {view.data(), view.size()};
+}
+
+Milliseconds deadlineOf(beast::string_view value)
+{
+    std::int64_t ms = 0;
+    const auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), ms);
+    if (ec != std::errc() || end == value.data() || ms < 0) {
+        return DefaultDeadline;
+    }
+    constexpr Milliseconds MostDeadline{3'600'000};
+    return std::min(Milliseconds(ms), MostDeadline);
+}
+
+} // namespace
+
+ForwardedRequest makeForwarded(CallerMessage message, const ForwardingHeaders &names, TimePoint now)
+{
+    ForwardedRequest request;
+    request.id = text(message[names.requestId]);
+    request.method = text(message.method_string());
+    request.target = text(message.target());
+    request.host = text(message[http::field::host]);
+    request.headers = endToEndHeaders(
+        message, [&](auto name) { return equals(name, names.deadline) || equals(name, names.expectedIdentity); });
+    request.sendsLength = message.has_content_length() || message.chunked();
+    request.body = std::move(message.body());
+    request.arrived = now;
+    request.deadline = now + deadlineOf(message[names.deadline]);
+    return request;
+}
+
+std::string upstreamHead(const ForwardedRequest &request,
+                         const ForwardingHeaders &names,
+                         const std::string &identity,
+                         Milliseconds left)
+{
+    std::string head = request.method + ' ' + request.target + " HTTP/1.1\r\nHost: " + request.host + "\r\n";
+    head += request.headers;
+    head += names.deadline + ": " + std::to_string(std::max<std::int64_t>(left.count(), 1)) + "\r\n";
+    head += names.expectedIdentity + ": " + identity + "\r\n";
+    if (request.sendsLength || !request.body.empty()) {
+        head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    return head + "\r\n";
+}
+
+CallerAnswer answerOf(UpstreamMessage message, bool headOnly, const ForwardingHeaders &names)
+{
+    CallerAnswer answer;
+    answer.status = message.result_int();
+    answer.reason = text(message.reason());
+    answer.headers
+        = endToEndHeaders(message, [&](auto name) { return equals(name, names.load) || equals(name, names.notRun); });
+    if (headOnly) {
+        answer.contentLength = text(message[http::field::content_length]);
+    }
+    answer.body = std::move(message.body());
+    return answer;
+}
+
+CallerAnswer ownAnswer(http::status status,
+                       std::string_view detail,
+                       std::string_view requestId,
+                       const ForwardingHeaders &names,
+                       Milliseconds retryAfter)
+{
+    CallerAnswer answer;
+    answer.status = static_cast<unsigned>(status);
+    answer.reason = text(http::obsolete_reason(status));
+    if (!requestId.empty()) {
+        answer.headers += names.requestId + ": " + std::string(requestId) + "\r\n";
+    }
+    if (retryAfter.count() > 0) {
+        char buf[32];
+        std::snprintf(buf, sizeof buf, "%.3f", std::chrono::duration<double>(retryAfter).count());
+        answer.headers += std::string("Retry-After: ") + buf + "\r\n";
+    }
+    answer.headers += "Content-Type: text/plain\r\n";
+    answer.body = std::string(detail) + '\n';
+    return answer;
+}
+
+std::string callerHead(const CallerAnswer &answer, bool close)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(answer.status) + ' ' + answer.reason + "\r\n" + answer.headers;
+    const bool hasNoBody = answer.status == 204 || answer.status == 304;
+    if (!hasNoBody) {
+        head += "Content-Length: "
+            + (answer.contentLength.empty() ? std::to_string(answer.body.size()) : answer.contentLength) + "\r\n";
+    }
+    head += close ? "Connection: close\r\n\r\n" : "\r\n";
+    return head;
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/gateway/serviceboard.cpp
@@ -0,0 +1,133 @@
+#include "gateway/serviceboard.h"
+
+#include <algorithm>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+/// Leases of upstreams last this many heartbeats.
+constexpr int HeartbeatsPerLease = 3;
+/// Part of the fleet's second attempts that one instance may use. Their sum stays below the limit of the fleet while
+/// active instances come and go.
+constexpr double BudgetShare = 0.8;
+constexpr double ReserveShare = 0.1;
+/// The objective of a route is some times its usual execution time.
+constexpr int ObjectivePerMedian = 4;
+constexpr Milliseconds UnknownMedian{200};
+
+unsigned reserveOf(const FleetBounds &bounds)
+{
+    return unsigned(bounds.retryReserve * ReserveShare);
+}
+
+} // namespace
+
+ServiceLine::ServiceLine(std::string serviceName,
+                         const std::string &zone,
+                         const FleetBounds &bounds,
+                         std::uint64_t seed)
+    : name(std::move(serviceName))
+    , pool(zone, seed)
+    , budget(bounds.retryShare * BudgetShare, bounds.retryWindow, reserveOf(bounds))
+{
+}
+
+ServiceBoard::ServiceBoard(std::string zone, const FleetBounds &bounds, std::uint64_t seed)
+    : m_zone(std::move(zone))
+    , m_bounds(bounds)
+    , m_seed(seed)
+    , m_registry(HeartbeatsPerLease * bounds.heartbeat)
+{
+}
+
+bool ServiceBoard::applyRoutes(std::shared_ptr<const RouteTable> table)
+{
+    if (m_routes && table->version() <= m_routes->version()) {
+        return false;
+    }
+    m_routes = std::move(table);
+    return true;
+}
+
+bool ServiceBoard::putUpstream(const RegisteredUpstream &entry, TimePoint now)
+{
+    const auto *known = m_registry.find(entry.id);
+    const auto serviceBefore = known != nullptr ? known->service : entry.service;
+    if (!m_registry.put(entry, now)) {
+        return false;
+    }
+    if (serviceBefore != entry.service) {
+        line(serviceBefore).pool.remove(entry.id);
+    }
+    line(entry.service).pool.put(entry, now);
+    return true;
+}
+
+bool ServiceBoard::removeUpstream(const std::string &id, TimePoint now)
+{
+    const auto *entry = m_registry.find(id);
+    const auto service = entry != nullptr ? entry->service : std::string();
+    if (!m_registry.remove(id, now)) {
+        return false;
+    }
+    line(service).pool.remove(id);
+    return true;
+}
+
+std::vector<std::string> ServiceBoard::expireUpstreams(TimePoint now)
+{
+    auto expired = m_registry.expire(now);
+    for (const auto &id : expired) {
+        noteForeignIdentity(id);
+    }
+    return expired;
+}
+
+void ServiceBoard::noteForeignIdentity(const std::string &id)
+{
+    for (auto &[service, line] : m_lines) {
+        line->pool.remove(id);
+    }
+}
+
+ServiceLine &ServiceBoard::line(const std::string &service)
+{
+    auto &line = m_lines[service];
+    if (!line) {
+        line = std::make_unique<ServiceLine>(service, m_zone, m_bounds, ++m_seed);
+    }
+    return *line;
+}
+
+LatencyModel &ServiceBoard::latency(const Route &route)
+{
+    auto &model = m_latencies[route.name];
+    if (!model) {
+        const auto median = route.objective.count() > 0 ? route.objective / ObjectivePerMedian : UnknownMedian;
+        model = std::make_unique<LatencyModel>(median);
+    }
+    return *model;
+}
+
+const std::string &ServiceBoard::nextService(const Route &route)
+{
+    if (route.targets.size() == 1) {
+        return route.targets.front().service;
+    }
+    auto &owed = m_shares[route.name];
+    owed.resize(route.targets.size());
+    double total = 0;
+    for (const auto &target : route.targets) {
+        total += target.weight;
+    }
+    std::size_t best = 0;
+    for (std::size_t n = 0; n < owed.size(); ++n) {
+        owed[n] += total > 0 ? route.targets[n].weight / total : 1.0 / double(owed.size());
+        best = owed[n] > owed[best] ? n : best;
+    }
+    owed[best] -= 1;
+    return route.targets[best].service;
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/gateway/statedump.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "gateway/storefollower.h"
+
+#include <string>
+
+namespace laburnumspar::detail {
+
+/// Roles, versions, upstreams and queues of an instance as JSON.
+std::string dumpState(const InstanceGroup &group, ServiceBoard &board, const StoreFollower &follower, TimePoint now);
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/gateway/storefollower.cpp
@@ -0,0 +1,360 @@
+#include "gateway/storefollower.h"
+
+#include "laburnumspar/errors.h"
+#include "laburnumspar/log.h"
+
+#include <algorithm>
+#include <set>
+
+namespace laburnumspar::detail {
+
+namespace {
+
+/// Each call to the store is priced, and with many upstreams there is a heartbeat to report at any moment.
+constexpr Milliseconds ReadPause{450};
+/// Longest wait of a read for changes. A silent connection is noticed a little later.
+constexpr Milliseconds ChangesWait{700};
+constexpr Milliseconds ReadTimeout{1000};
+constexpr Milliseconds PullTimeout{500};
+constexpr Milliseconds FailurePause{250};
+/// Pause between looks at what the other instances know.
+constexpr Milliseconds PeerPause{100};
+constexpr Milliseconds StandbyPause{500};
+/// Callers keep old addresses for some times their lifetime.
+constexpr Milliseconds UseTime{20'000};
+
+} // namespace
+
+StoreFollower::StoreFollower(asio::io_context &context,
+                             const GatewaySettings &settings,
+                             const PlatformEdge &edge,
+                             InstanceGroup &group,
+                             ServiceBoard &board,
+                             Hooks hooks)
+    : m_context(context)
+    , m_settings(settings)
+    , m_edge(edge)
+    , m_group(group)
+    , m_board(board)
+    , m_hooks(std::move(hooks))
+    , m_store(context, settings.store)
+    , m_pause(context)
+{
+}
+
+void StoreFollower::start()
+{
+    asio::co_spawn(
+        m_context,
+        [this] { return run(); },
+        [](std::exception_ptr error) { rethrowIfFatal(std::move(error), "store.follower"); });
+}
+
+void StoreFollower::wake()
+{
+    m_pause.cancel();
+}
+
+void StoreFollower::noteUse(TimePoint now)
+{
+    const bool held = holdsState(now);
+    m_neededUntil = now + UseTime;
+    if (!held) {
+        wake();
+    }
+}
+
+bool StoreFollower::holdsState(TimePoint now) const
+{
+    return m_group.self().role != InstanceRole::Standby || now < m_neededUntil;
+}
+
+bool StoreFollower::isComplete() const
+{
+    return m_board.routes() != nullptr && !m_board.registry().records().empty();
+}
+
+Milliseconds StoreFollower::age(TimePoint now) const
+{
+    constexpr Milliseconds Never{3'600'000};
+    return m_lastAnswer ? std::chrono::duration_cast<Milliseconds>(now - *m_lastAnswer) : Never;
+}
+
+awaitable<void> StoreFollower::run()
+{
+    for (;;) {
+        auto now = Clock::now();
+        expire(now);
+        Milliseconds pause = StandbyPause;
+        if (holdsState(now)) {
+            const auto *peer = newerPeer(now);
+            if (peer != nullptr && co_await pullFromPeer(peer->ip)) {
+                pause = Milliseconds(0);
+            } else if (m_group.readsStore(now) || !isComplete()) {
+                co_await readStore();
+                pause = m_failedSince ? FailurePause : ReadPause;
+            } else {
+                pause = PeerPause;
+            }
+        }
+        m_pause.expires_after(pause);
+        co_await m_pause.async_wait(Awaitable);
+    }
+}
+
+/// The instance that knows the newest change, if it is newer than what is known here; the nearest one of several.
+const InstanceStatus *StoreFollower::newerPeer(TimePoint now)
+{
+    m_peers = m_group.members(now);
+    const InstanceStatus *best = nullptr;
+    for (const auto &it : m_peers) {
+        if (it.storeRevision <= m_mirror.newestChange()) {
+            continue;
+        }
+        const auto better = [&] {
+            const bool near = it.zone == m_settings.zone;
+            const bool bestNear = best->zone == m_settings.zone;
+            return it.storeRevision != best->storeRevision ? it.storeRevision > best->storeRevision : near && !bestNear;
+        };
+        if (best == nullptr || better()) {
+            best = &it;
+        }
+    }
+    return best;
+}
+
+awaitable<bool> StoreFollower::pullFromPeer(const std::string &ip)
+{
+    HttpChannel channel(m_context, {ip, m_settings.peers.port});
+    const auto before = m_mirror.newestChange();
+    const auto reply = co_await channel.get("/changes?after=" + std::to_string(before), PullTimeout);
+    const auto now = Clock::now();
+    if (reply.status != 200) {
+        logEvent(
+            LogLevel::Warning, "group.pull-failed", {{"from", ip}, {"status", reply.status}, {"error", reply.failure}});
+        m_group.suspect(ip, now);
+        co_return false;
+    }
+    try {
+        auto changes = decodeChanges({reinterpret_cast<const std::uint8_t *>(reply.body.data()), reply.body.size()});
+        logEvent(LogLevel::Info,
+                 "group.pulled",
+                 {{"from", ip}, {"after", before}, {"revision", changes.revision}, {"items", changes.items.size()}});
+        for (auto &item : changes.items) {
+            applyItem(std::move(item), now);
+        }
+        m_cursor = std::max(m_cursor, changes.revision);
+    } catch (const DecodeError &e) {
+        logEvent(LogLevel::Error, "group.pull-rejected", {{"from", ip}, {"error", e.what()}});
+        co_return false;
+    }
+    m_lastAnswer = now;
+    co_return m_mirror.newestChange() > before;
+}
+
+awaitable<void> StoreFollower::readStore()
+{
+    const auto before = m_mirror.newestChange();
+    if (m_cursor == 0) {
+        co_await readAll();
+    } else {
+        co_await readChanges();
+    }
+    announceIfChanged(before);
+}
+
+void StoreFollower::announceIfChanged(std::uint64_t before)
+{
+    if (m_mirror.newestChange() > before) {
+        m_hooks.changed();
+    }
+}
+
+awaitable<bool> StoreFollower::readAll()
+{
+    std::set<std::string> seen;
+    std::uint64_t firstRevision = 0;
+    const std::vector<std::string> prefixes{m_edge.upstreamPrefix, m_edge.routesPrefix};
+    for (const auto &prefix : prefixes) {
+        std::string after;
+        bool more = true;
+        while (more) {
+            const auto target = m_edge.listTarget(prefix, after);
+            auto page = co_await callStore(target, ReadTimeout, false);
+            if (!page) {
+                co_return false;
+            }
+            const auto now = Clock::now();
+            firstRevision = firstRevision == 0 ? page->revision : firstRevision;
+            more = page->truncated && !page->items.empty();
+            if (more) {
+                after = page->items.back().key;
+            }
+            for (auto &item : page->items) {
+                seen.insert(item.key);
+                applyItem(std::move(item), now);
+            }
+        }
+    }
+    // What was known and is not listed has been removed while changes were not read.
+    const auto now = Clock::now();
+    std::vector<std::string> gone;
+    for (const auto &[key, item] : m_mirror.items()) {
+        if (!item.removed && key.starts_with(m_edge.upstreamPrefix) && !seen.contains(key)
+            && item.revision < firstRevision) {
+            gone.push_back(key);
+        }
+    }
+    for (const auto &key : gone) {
+        applyItem({key, {}, firstRevision, true}, now);
+    }
+    m_cursor = std::max(m_cursor, firstRevision);
+    co_return true;
+}
+
+awaitable<bool> StoreFollower::readChanges()
+{
+    const auto target = m_edge.watchTarget("", m_cursor, ChangesWait);
+    auto page = co_await callStore(target, ChangesWait + ReadTimeout / 2, true);
+    if (!page) {
+        co_return false;
+    }
+    const auto now = Clock::now();
+    for (auto &item : page->items) {
+        applyItem(std::move(item), now);
+    }
+    m_cursor = std::max(m_cursor, page->revision);
+    co_return true;
+}
+
+awaitable<std::optional<PlatformEdge::Page>>
+StoreFollower::callStore(const std::string &target, Milliseconds timeout, bool changes)
+{
+    constexpr unsigned HistoryGone = 410;
+    ++m_storeCalls;
+    const auto reply = co_await m_store.get(target, timeout);
+    const auto now = Clock::now();
+    if (reply.status == HistoryGone) {
+        logEvent(LogLevel::Warning, "store.history-gone", {{"after", m_cursor}});
+        noteAnswer(now);
+        m_cursor = 0;
+        co_return std::nullopt;
+    }
+    if (reply.status != 200) {
+        noteFailure(reply.status == 0 ? reply.failure : "status " + std::to_string(reply.status), now);
+        co_return std::nullopt;
+    }
+    try {
+        auto page = changes ? m_edge.decodeChanges(reply.body) : m_edge.decodePage(reply.body);
+        noteAnswer(now);
+        co_return page;
+    } catch (const DecodeError &e) {
+        noteFailure(e.what(), now);
+        co_return std::nullopt;
+    }
+}
+
+void StoreFollower::noteAnswer(TimePoint now)
+{
+    if (m_failedSince) {
+        logEvent(LogLevel::Info,
+                 "store.regained",
+                 {{"seconds", std::chrono::duration<double>(now - *m_failedSince).count()}});
+        m_board.registry().noteOutage(*m_failedSince, now);
+        m_failedSince.reset();
+    }
+    m_lastAnswer = now;
+}
+
+void StoreFollower::noteFailure(const std::string &failure, TimePoint now)
+{
+    if (!m_failedSince) {
+        logEvent(LogLevel::Warning, "store.lost", {{"error", failure}});
+        m_failedSince = m_lastAnswer.value_or(now);
+    }
+}
+
+void StoreFollower::applyItem(StoreItem item, TimePoint now)
+{
+    const auto *known = m_mirror.find(item.key);
+    if (known != nullptr && known->revision >= item.revision) {
+        return;
+    }
+    if (item.removed) {
+        applyRemoval(item, now);
+    } else if (applyMeaning(item, now)) {
+        m_pendingRemovals.erase(item.key);
+        m_mirror.apply(std::move(item));
+    }
+}
+
+void StoreFollower::applyRemoval(const StoreItem &item, TimePoint now)
+{
+    const auto id = m_edge.upstreamOfKey(item.key);
+    if (!id.empty() && m_board.registry().find(id) != nullptr && !m_board.removeUpstream(id, now)) {
+        logEvent(LogLevel::Info, "upstream.lease-lapsed", {{"upstream", id}, {"revision", item.revision}});
+        m_pendingRemovals[item.key] = item.revision;
+        return;
+    }
+    if (!id.empty()) {
+        logEvent(LogLevel::Info, "upstream.removed", {{"upstream", id}, {"revision", item.revision}});
+    }
+    m_mirror.apply(item);
+}
+
+/// True if the item says something new.
+bool StoreFollower::applyMeaning(const StoreItem &item, TimePoint now)
+{
+    StoreMeaning meaning;
+    try {
+        meaning = m_edge.decodeItem(item);
+    } catch (const Error &e) {
+        logEvent(LogLevel::Warning,
+                 "store.item-rejected",
+                 {{"key", item.key}, {"revision", item.revision}, {"error", e.what()}});
+        // An entry that cannot be read names no upstream to use, whatever it said before.
+        const auto id = m_edge.upstreamOfKey(item.key);
+        return !id.empty() && m_board.removeUpstream(id, now);
+    }
+    if (const auto *entry = std::get_if<RegisteredUpstream>(&meaning)) {
+        const bool changed = m_board.putUpstream(*entry, now);
+        if (changed) {
+            logEvent(LogLevel::Info,
+                     "upstream.changed",
+                     {{"upstream", entry->id},
+                      {"service", entry->service},
+                      {"address", toString(entry->address)},
+                      {"phase", name(entry->phase)},
+                      {"revision", item.revision}});
+        }
+        return changed;
+    }
+    if (const auto *table = std::get_if<std::shared_ptr<const RouteTable>>(&meaning)) {
+        const bool newer = m_board.applyRoutes(*table);
+        logEvent(
+            LogLevel::Info,
+            newer ? "routes.applied" : "routes.ignored",
+            {{"version", (*table)->version()}, {"routes", (*table)->routes().size()}, {"revision", item.revision}});
+        return newer;
+    }
+    return false;
+}
+
+void StoreFollower::expire(TimePoint now)
+{
+    const auto before = m_mirror.newestChange();
+    for (const auto &id : m_board.expireUpstreams(now)) {
+        logEvent(LogLevel::Info, "upstream.removed", {{"upstream", id}, {"reason", "not back after the outage"}});
+    }
+    for (auto it = m_pendingRemovals.begin(); it != m_pendingRemovals.end();) {
+        if (m_board.registry().find(m_edge.upstreamOfKey(it->first)) == nullptr) {
+            m_mirror.apply({it->first, {}, it->second, true});
+            it = m_pendingRemovals.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    announceIfChanged(before);
+}
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/gateway/storefollower.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "gateway/groupmessages.h"
+#include "gateway/httpchannel.h"
+#include "gateway/serviceboard.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace laburnumspar::detail {
+
+/// Keeps the board in step with the operators' store: read from the store itself, or from another instance that has
+/// read it.
+class StoreFollower
+{
+public:
+    struct Hooks {
+        /// Something changed that the other instances should know.
+        std::function<void()> changed;
+    };
+
+    StoreFollower(asio::io_context &context,
+                  const GatewaySettings &settings,
+                  const PlatformEdge &edge,
+                  InstanceGroup &group,
+                  ServiceBoard &board,
+                  Hooks hooks);
+
+    void start();
+    /// Ends the wait before the next step, as when requests arrive at an instance that holds no state.
+    void wake();
+    /// Requests arrive here: state is needed for a while, whatever the role of the instance.
+    void noteUse(TimePoint now);
+    bool holdsState(TimePoint now) const;
+    /// Routes and upstreams are known.
+    bool isComplete() const;
+
+    const StoreMirror &mirror() const
+    {
+        return m_mirror;
+    }
+    /// Time since the store, or an instance that reads it, was last heard.
+    Milliseconds age(TimePoint now) const;
+    std::uint64_t storeCalls() const
+    {
+        return m_storeCalls;
+    }
+
+private:
+    awaitable<void> run();
+    awaitable<void> readStore();
+    awaitable<bool> readAll();
+    awaitable<bool> readChanges();
+    awaitable<std::optional<PlatformEdge::Page>>
+    callStore(const std::string &target, Milliseconds timeout, bool changes);
+    awaitable<bool> pullFromPeer(const std::string &ip);
+    const InstanceStatus *newerPeer(TimePoint now);
+    void applyItem(StoreItem item, TimePoint now);
+    void applyRemoval(const StoreItem &item, TimePoint now);
+    bool applyMeaning(const StoreItem &item, TimePoint now);
+    void noteAnswer(TimePoint now);
+    void noteFailure(const std::string &failure, TimePoint now);
+    void expire(TimePoint now);
+    void announceIfChanged(std::uint64_t before);
+
+    asio::io_context &m_context;
+    const GatewaySettings &m_settings;
+    const PlatformEdge &m_edge;
+    InstanceGroup &m_group;
+    ServiceBoard &m_board;
+    Hooks m_hooks;
+    HttpChannel m_store;
+    asio::steady_timer m_pause;
+    StoreMirror m_mirror;
+    std::uint64_t m_cursor = 0; ///< the store's changes up to this revision are known; 0: none
+    std::map<std::string, std::uint64_t> m_pendingRemovals; ///< revisions of removals that the registry holds back
+    std::optional<TimePoint> m_lastAnswer;
+    std::optional<TimePoint> m_failedSince;
+    TimePoint m_neededUntil;
+    std::uint64_t m_storeCalls = 0;
+    std::vector<InstanceStatus> m_peers;
+};
+
+} // namespace laburnumspar::detail
--- /dev/null
+++ b/src/routetable.cpp
@@ -0,0 +1,96 @@
+#include "laburnumspar/routetable.h"
+
+#include "laburnumspar/errors.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace laburnumspar {
+
+namespace {
+
+/// Host names compare without regard to case, and a caller may name the port.
+std::string normalizedHost(std::string_view host)
+{
+    std::string result(host.substr(0, host.find(':')));
+    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char c) { return std::tolower(c); });
+    return result;
+}
+
+[[noreturn]] void fail(const Route &route, const std::string &allowed)
+{
+    throw SettingsError("route table", route.name, 0, allowed);
+}
+
+} // namespace
+
+const Route *RouteTable::match(std::string_view host, std::string_view target) const
+{
+    const auto path = target.substr(0, target.find_first_of("?#"));
+    std::string key = normalizedHost(host);
+    const auto hostLength = key.size();
+    key += path;
+    // Every prefix ends with a slash, so only the slashes of the path are tried, the last one first.
+    while (key.size() > hostLength) {
+        const auto slash = key.rfind('/');
+        if (slash == std::string::npos || slash < hostLength) {
+            return nullptr;
+        }
+        key.resize(slash + 1);
+        const auto it = m_index.find(key);
+        if (it != m_index.end()) {
+            return &m_routes[it->second];
+        }
+        key.resize(slash);
+    }
+    return nullptr;
+}
+
+RouteTable::Builder::Builder(std::uint64_t version)
+{
+    m_table.m_version = version;
+}
+
+RouteTable::Builder &RouteTable::Builder::limits(const CallerLimits &limits)
+{
+    m_table.m_limits = limits;
+    return *this;
+}
+
+RouteTable::Builder &RouteTable::Builder::service(std::string name, ServicePolicy policy)
+{
+    m_table.m_services.insert_or_assign(std::move(name), std::move(policy));
+    return *this;
+}
+
+RouteTable::Builder &RouteTable::Builder::route(Route route)
+{
+    m_table.m_routes.push_back(std::move(route));
+    return *this;
+}
+
+std::shared_ptr<const RouteTable> RouteTable::Builder::build()
+{
+    for (std::size_t n = 0; n < m_table.m_routes.size(); ++n) {
+        auto &route = m_table.m_routes[n];
+        if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/') {
+            fail(route, "a prefix that begins and ends with a slash");
+        }
+        if (route.targets.empty()) {
+            fail(route, "at least one service");
+        }
+        for (const auto &target : route.targets) {
+            if (!m_table.m_services.contains(target.service)) {
+                fail(route, "a service that is listed");
+            }
+            if (!(target.weight >= 0)) {
+                fail(route, "weights of 0 or more");
+            }
+        }
+        route.attempts = std::max(route.attempts, 1U);
+        m_table.m_index.insert_or_assign(normalizedHost(route.host) + route.prefix, n);
+    }
+    return std::make_shared<const RouteTable>(std::move(m_table));
+}
+
+} // namespace laburnumspar
--- /dev/null
+++ b/src/upstreamregistry.cpp
@@ -0,0 +1,81 @@
+#include "laburnumspar/upstreamregistry.h"
+
+namespace laburnumspar {
+
+bool RegisteredUpstream::sameAs(const RegisteredUpstream &other) const
+{
+    return id == other.id && service == other.service && address == other.address && zone == other.zone
+        && slots == other.slots && phase == other.phase && startedAtMs == other.startedAtMs;
+}
+
+UpstreamRegistry::UpstreamRegistry(Milliseconds leaseTime)
+    : m_leaseTime(leaseTime)
+{
+}
+
+bool UpstreamRegistry::put(RegisteredUpstream entry, TimePoint now)
+{
+    auto &record = m_records[entry.id];
+    const bool changed = record.lapsed || !record.entry.sameAs(entry);
+    record = {std::move(entry), now, false, {}};
+    return changed;
+}
+
+bool UpstreamRegistry::remove(const std::string &id, TimePoint now)
+{
+    const auto it = m_records.find(id);
+    if (it == m_records.end()) {
+        return false;
+    }
+    // An upstream that was draining has left; its lease did not merely lapse.
+    if (it->second.entry.phase != UpstreamPhase::Draining && lapsedInOutage(now)) {
+        if (!it->second.lapsed) {
+            it->second.lapsed = true;
+            it->second.keptUntil = *m_outageEnd + ReturnTime;
+        }
+        return false;
+    }
+    m_records.erase(it);
+    return true;
+}
+
+std::vector<std::string> UpstreamRegistry::expire(TimePoint now)
+{
+    std::vector<std::string> expired;
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        if (it->second.lapsed && it->second.keptUntil <= now) {
+            expired.push_back(it->first);
+            it = m_records.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return expired;
+}
+
+void UpstreamRegistry::noteOutage(TimePoint since, TimePoint now)
+{
+    // A lease that was renewed just before a short outage is still running.
+    if (now - since < m_leaseTime / 3) {
+        return;
+    }
+    m_outageEnd = now;
+    for (auto &[id, record] : m_records) {
+        if (record.lapsed) {
+            record.keptUntil = now + ReturnTime;
+        }
+    }
+}
+
+const RegisteredUpstream *UpstreamRegistry::find(const std::string &id) const
+{
+    const auto it = m_records.find(id);
+    return it == m_records.end() ? nullptr : &it->second.entry;
+}
+
+bool UpstreamRegistry::lapsedInOutage(TimePoint now) const
+{
+    return m_outageEnd && now < *m_outageEnd + ReturnTime;
+}
+
+} // namespace laburnumspar
--- a/tools/laburnumspar/commands.cpp
+++ b/tools/laburnumspar/commands.cpp
@@ -1,11 +1,15 @@
 #include "commands.h"
 
+#include "laburnumspar/gateway.h"
 #include "laburnumspar/instance.h"
 #include "laburnumspar/log.h"
 #include "laburnumspar/settings.h"
 #include "laburnumspar/version.h"
 #include "net/io.h"
 #include "options.h"
+#include "platform/edge.h"
+#include "platform/names.h"
+#include "platform/settingsfile.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -164,6 +168,37 @@
     std::quick_exit(code);
 }
 
+ExitCode serveCommand(const Arguments &arguments)
+{
+    po::options_description options("options of serve");
+    options.add_options()("settings", po::value<std::string>(), "settings file of the platform (TOML)")(
+        "metrics-port", po::value<std::uint16_t>()->default_value(0), "port for metrics and state dumps; 0: none")(
+        "log-level", po::value<std::string>()->default_value("info"), "trace, debug, info, warning, error or off");
+    const auto values = parseOptions(options, arguments);
+    if (!values) {
+        return ExitCode::Success;
+    }
+    const char *variable = std::getenv(platform::names::SettingsVariable);
+    if (values->count("settings") == 0 && variable == nullptr) {
+        throw UsageError(std::string("serve: --settings or ") + platform::names::SettingsVariable + " is needed");
+    }
+    const auto file = values->count("settings") > 0 ? (*values)["settings"].as<std::string>() : std::string(variable);
+    const auto read = [&] {
+        auto settings = platform::parseSettings(readFile(file), file);
+        settings.logLevel = (*values)["log-level"].as<std::string>();
+        if (const auto port = (*values)["metrics-port"].as<std::uint16_t>(); port != 0) {
+            settings.metrics = Endpoint{settings.ip, port};
+        }
+        return settings;
+    };
+    auto settings = read();
+    configureLog(settings.logLevel, "json");
+    std::signal(SIGPIPE, SIG_IGN);
+    Gateway gateway(std::move(settings), platform::makeEdge());
+    gateway.run(read);
+    return ExitCode::Success;
+}
+
 ExitCode checkCommand(const Arguments &arguments)
 {
     const auto settings = effectiveSettings("check", arguments);
--- a/tools/laburnumspar/commands.h
+++ b/tools/laburnumspar/commands.h
@@ -16,6 +16,7 @@
 
 /// Each takes the arguments after its name. They throw UsageError, SettingsError or TransportError.
 ExitCode runCommand(const Arguments &arguments);
+ExitCode serveCommand(const Arguments &arguments);
 ExitCode checkCommand(const Arguments &arguments);
 ExitCode printCommand(const Arguments &arguments);
 ExitCode dumpCommand(const Arguments &arguments);
--- a/tools/laburnumspar/main.cpp
+++ b/tools/laburnumspar/main.cpp
@@ -20,6 +20,7 @@
 {
     static const std::map<std::string, Command> all{
         {"run", {runCommand, "serve until SIGTERM or SIGINT (--settings FILE)"}},
+        {"serve", {serveCommand, "forward by route on the operators' platform (settings file in LABURNUMSPAR_CONFIG)"}},
         {"check", {checkCommand, "check a settings file without starting (--settings FILE or --service FILE)"}},
         {"print", {printCommand, "print the effective settings (--settings FILE or --service FILE)"}},
         {"dump", {dumpCommand, "print the state of a running instance (--admin IP:PORT)"}},
