--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,9 +7,10 @@
 #include "laburnumspar/log.h"
 #include "net/httpserver.h"
 
+#include <sys/resource.h>
+
 #include <charconv>
 #include <csignal>
-#include <ctime>
 #include <random>
 
 namespace laburnumspar {
@@ -39,9 +40,10 @@
 
 double processSeconds()
 {
-    timespec time{};
-    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-    return double(time.tv_sec) + double(time.tv_nsec) * 1e-9;
+    rusage usage{};
+    ::getrusage(RUSAGE_SELF, &usage);
+    const auto seconds = [](const timeval &time) { return double(time.tv_sec) + double(time.tv_usec) * 1e-6; };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
 }
 
 InstanceStatus statusOf(const GatewaySettings &settings)
@@ -142,7 +144,15 @@
         };
         hooks.takeSuspicions = [this] { return takeSuspicions(); };
         hooks.roleChanged = [this](InstanceRole before, InstanceRole after) {
-            logEvent(LogLevel::Info, "instance.role", {{"before", name(before)}, {"after", name(after)}});
+            const auto now = Clock::now();
+            logEvent(LogLevel::Info,
+                     "instance.role",
+                     {{"before", name(before)},
+                      {"after", name(after)},
+                      {"members", group.members(now).size()},
+                      {"active", group.actives(settings.zone, now).size()},
+                      {"wanted", group.activesWanted(now)},
+                      {"load", load}});
             follower.wake();
         };
         return hooks;
