upstream pool: judge upstreams as sound or faulty, and share what instances observe

The pool now filters two states with a change rate, shares ends of attempts between active instances every 200 ms, sends work that has one chance to the upstream least likely to be faulty, and repeats work on doubtful upstreams sooner. Final answers leave 20 ms before the caller's deadline.

--- a/include/laburnumspar/instancegroup.h
+++ b/include/laburnumspar/instancegroup.h
@@ -12,8 +12,8 @@
 
 /// What an instance does at present.
 enum class InstanceRole : std::uint8_t {
-    Standby, ///< holds no state; serves what reaches it all the same
-    Spare, ///< holds all state and is ready to take over
+    Standby, ///< not named to callers
+    Spare, ///< the first to take over
     Active, ///< named to callers
     Leaving, ///< finishes what it has
 };
--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -39,8 +39,9 @@
 
 /// Chooses upstreams of one service for requests and learns from how the attempts end.
 ///
-/// Suspicion is the logarithm of the odds that an upstream fails the work it is given. It comes from finished attempts
-/// and from the silence of unfinished ones compared with how long such work takes elsewhere.
+/// An upstream is taken to be either sound or faulty, and to change between the two now and then. The probability that
+/// it is faulty follows from how attempts ended, and from the silence of unfinished ones compared with how long such
+/// work takes elsewhere; without news it returns to the share of faulty upstreams in the pool.
 class UpstreamPool
 {
 public:
@@ -48,21 +49,28 @@
 
     struct Request {
         const LatencyModel *latency = nullptr; ///< of this kind of work; outlives the attempts
-        bool idempotent = false;
+        bool mustSucceed = false; ///< there is no further attempt if this one fails
         std::vector<std::string> exclude; ///< identities that already had the request
     };
 
+    /// How attempts of another instance ended.
+    struct Observation {
+        std::string id;
+        unsigned successes = 0;
+        unsigned failures = 0;
+    };
+
     struct Choice {
         AttemptId attempt = 0;
         RegisteredUpstream upstream;
-        double suspicion = 0;
+        double faultProbability = 0;
     };
 
     struct Summary {
         std::string id;
         std::size_t inFlight = 0;
         double foreign = 0;
-        double suspicion = 0;
+        double faultProbability = 0;
     };
 
     /// `zone`: where this instance runs. `seed`: of the choice between equal upstreams.
@@ -74,10 +82,9 @@
     /// Takes a slot of the upstream that suits the request best; empty if none has one.
     std::optional<Choice> start(const Request &request, TimePoint now);
     void finish(AttemptId attempt, AttemptEnd end, const std::optional<ReportedLoad> &load, TimePoint now);
-    /// Another instance suspects this upstream.
-    void hearSuspicion(const std::string &id, double suspicion, TimePoint now);
-    /// Upstreams which became suspect since the last call.
-    std::vector<Summary> takeNewSuspects(TimePoint now);
+    void hear(const Observation &observation, TimePoint now);
+    /// Ends of own attempts since the last call. An upstream that has become silent counts as a failure.
+    std::vector<Observation> takeObservations(TimePoint now);
 
     /// Slots of all upstreams that may get work.
     unsigned slots() const;
@@ -103,30 +110,33 @@
     struct Upstream {
         RegisteredUpstream entry;
         std::vector<Attempt> inFlight;
-        double evidence = 0; ///< suspicion from finished attempts, at `evidenceAt`
-        TimePoint evidenceAt;
-        TimePoint lastSuccess;
-        TimePoint lastStart;
+        double fault = 0; ///< probability of a fault at `faultAt`, from finished attempts
+        TimePoint faultAt;
+        TimePoint lastTrial; ///< last attempt, here or elsewhere
         TimePoint warmAt; ///< slow until then
         TimePoint fullUntil; ///< refuses work until then
         double foreign = 0; ///< work of other instances, as last reported
         TimePoint foreignAt;
         double slowness = 1; ///< execution time compared with the usual one
-        bool suspect = false; ///< as last published
+        Observation unpublished;
+        bool silencePublished = false;
     };
 
-    double evidenceOf(const Upstream &upstream, TimePoint now) const;
-    double suspicionOf(const Upstream &upstream, TimePoint now) const;
+    double faultOf(const Upstream &upstream, TimePoint now) const;
+    double faultWithSilence(const Upstream &upstream, TimePoint now) const;
     double foreignOf(const Upstream &upstream, TimePoint now) const;
     bool hasRoom(const Upstream &upstream, TimePoint now) const;
-    double costOf(const Upstream &upstream, double suspicion, const Request &request, TimePoint now);
-    void addEvidence(Upstream &upstream, double evidence, TimePoint now);
+    double costOf(const Upstream &upstream, double fault, const Request &request, TimePoint now);
+    void addEvidence(Upstream &upstream, double logOdds, TimePoint now);
     void learnLoad(Upstream &upstream, const ReportedLoad &load, TimePoint now);
     void learnTime(Upstream &upstream, const Attempt &attempt, TimePoint now);
+    void updatePrior(TimePoint now);
 
     std::string m_zone;
     std::mt19937_64 m_random;
     AttemptId m_nextAttempt = 1;
+    double m_prior; ///< share of faulty upstreams
+    TimePoint m_priorAt;
     std::map<std::string, Upstream> m_upstreams;
     std::map<AttemptId, std::string> m_attempts;
 };
--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -28,7 +28,6 @@
     Forwarder &forwarder;
     const ServiceBoard &board;
     const ForwardingHeaders &headers;
-    std::function<void()> onRequest;
     std::set<Session *> sessions;
     bool closing = false;
 
@@ -174,7 +173,6 @@
     void onMessage()
     {
         m_phase = Phase::Waiting;
-        m_state->onRequest();
         auto message = m_parser->release();
         m_keepAlive = message.keep_alive();
         m_headOnly = message.method() == http::verb::head;
@@ -295,9 +293,8 @@
                            const Endpoint &endpoint,
                            Forwarder &forwarder,
                            const ServiceBoard &board,
-                           const ForwardingHeaders &headers,
-                           std::function<void()> onRequest)
-    : m_state(std::make_shared<State>(State{context, forwarder, board, headers, std::move(onRequest), {}, false}))
+                           const ForwardingHeaders &headers)
+    : m_state(std::make_shared<State>(State{context, forwarder, board, headers, {}, false}))
     , m_listener(context, endpoint, [state = m_state](tcp::socket socket) {
         if (state->sessions.size() < MaxConnections) {
             std::make_shared<Session>(state, std::move(socket))->waitForRequest();
--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -12,14 +12,12 @@
 class CallerServer
 {
 public:
-    /// Binds at once; throws TransportError if the address is taken. `onRequest` is called for each request that has
-    /// been read.
+    /// Binds at once; throws TransportError if the address is taken.
     CallerServer(asio::io_context &context,
                  const Endpoint &endpoint,
                  Forwarder &forwarder,
                  const ServiceBoard &board,
-                 const ForwardingHeaders &headers,
-                 std::function<void()> onRequest);
+                 const ForwardingHeaders &headers);
     ~CallerServer();
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -11,10 +11,15 @@
 
 /// A second attempt starts when the first one runs longer than this share of its kind.
 constexpr double HedgeQuantile = 0.9;
+/// The same on an upstream that may well be faulty.
+constexpr double DoubtfulHedgeQuantile = 0.6;
+constexpr double DoubtfulFault = 0.25;
 /// Time between tries to start a second attempt while no upstream has a free slot.
 constexpr Milliseconds HedgeRetry{60};
 /// Share of the work that ends within the time that a request must have left to be started.
 constexpr double LeastTimeQuantile = 0.3;
+/// The final answer has to reach the caller before its deadline.
+constexpr Milliseconds AnswerMargin{20};
 constexpr Milliseconds LeastRetryAfter{100};
 constexpr Milliseconds MostRetryAfter{2000};
 /// An attempt that was given up earlier says nothing of its upstream.
@@ -139,8 +144,9 @@
     , m_handler(std::move(handler))
     , m_deadlineTimer(forwarder.m_context)
     , m_hedgeTimer(forwarder.m_context)
-    , m_deadline(route.timeout.count() > 0 ? std::min(m_request.deadline, m_request.arrived + route.timeout)
-                                           : m_request.deadline)
+    , m_deadline(route.timeout.count() > 0
+                     ? std::min(m_request.deadline - AnswerMargin, m_request.arrived + route.timeout)
+                     : m_request.deadline - AnswerMargin)
 {
     ++m_forwarder.m_inFlight;
 }
@@ -174,9 +180,14 @@
     }
 }
 
+bool Forwarding::isLastChance() const
+{
+    return !m_route.idempotent || m_runs + 1 >= m_route.attempts;
+}
+
 bool Forwarding::tryStart(TimePoint now)
 {
-    const auto choice = m_line.pool.start({&m_latency, m_route.idempotent, m_tried}, now);
+    const auto choice = m_line.pool.start({&m_latency, isLastChance(), m_tried}, now);
     if (!choice) {
         return false;
     }
@@ -245,8 +256,8 @@
                                              [self = shared_from_this(), id = choice.attempt](ExchangeResult result) {
                                                  self->onResult(id, std::move(result));
                                              });
-    m_attempts.push_back({choice.attempt, upstream.id, now, choice.suspicion, std::move(exchange)});
-    armHedge(now);
+    m_attempts.push_back({choice.attempt, upstream.id, now, choice.faultProbability, std::move(exchange)});
+    armHedge(choice.faultProbability, now);
 }
 
 void Forwarding::onResult(UpstreamPool::AttemptId id, ExchangeResult result)
@@ -346,12 +357,13 @@
     return tryStart(now);
 }
 
-void Forwarding::armHedge(TimePoint now)
+void Forwarding::armHedge(double faultProbability, TimePoint now)
 {
     if (!m_route.idempotent || m_runs >= m_route.attempts) {
         return;
     }
-    m_hedgeTimer.expires_at(now + m_latency.quantile(HedgeQuantile));
+    m_hedgeTimer.expires_at(
+        now + m_latency.quantile(faultProbability > DoubtfulFault ? DoubtfulHedgeQuantile : HedgeQuantile));
     m_hedgeTimer.async_wait([weak = weak_from_this()](error_code ec) {
         const auto self = weak.lock();
         if (!ec && self && self->m_handler) {
@@ -479,7 +491,7 @@
              "attempt.done",
              {{"request", m_request.id},
               {"upstream", attempt.upstream},
-              {"suspicion", attempt.suspicion},
+              {"fault_probability", attempt.faultProbability},
               {"end", name(end)},
               {"status", status},
               {"detail", detail},
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -82,10 +82,11 @@
         UpstreamPool::AttemptId id = 0;
         std::string upstream;
         TimePoint started;
-        double suspicion = 0;
+        double faultProbability = 0;
         std::shared_ptr<Exchange> exchange;
     };
 
+    bool isLastChance() const;
     Milliseconds left(TimePoint now) const;
     void launch(const UpstreamPool::Choice &choice, TimePoint now);
     void wait(TimePoint now);
@@ -93,7 +94,7 @@
     void onResult(UpstreamPool::AttemptId id, ExchangeResult result);
     void onNotRun(const Attempt &attempt, AttemptEnd end, TimePoint now);
     void onFailed(TimePoint now);
-    void armHedge(TimePoint now);
+    void armHedge(double faultProbability, TimePoint now);
     void onHedgeTime();
     bool startSecond(TimePoint now);
     void onDeadline();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -67,7 +67,7 @@
         , board(settings.zone, settings.bounds, std::random_device()())
         , group(statusOf(settings), {}, Clock::now())
         , forwarder(context, board, edge.headers, metrics)
-        , callers(context, settings.callers, forwarder, board, edge.headers, [this] { follower.noteUse(Clock::now()); })
+        , callers(context, settings.callers, forwarder, board, edge.headers)
         , readiness(context,
                     settings.readiness,
                     {},
@@ -139,10 +139,10 @@
             status.storeRevision = follower.mirror().newestChange();
             status.storeAgeMs = std::uint32_t(age);
         };
-        hooks.suspicionHeard = [this](const UpstreamSuspicion &it) {
-            board.line(it.service).pool.hearSuspicion(it.id, it.level, Clock::now());
+        hooks.observationHeard = [this](const UpstreamObservation &it) {
+            board.line(it.service).pool.hear(it.counts, Clock::now());
         };
-        hooks.takeSuspicions = [this] { return takeSuspicions(); };
+        hooks.takeObservations = [this] { return takeObservations(); };
         hooks.roleChanged = [this](InstanceRole before, InstanceRole after) {
             const auto now = Clock::now();
             logEvent(LogLevel::Info,
@@ -158,16 +158,18 @@
         return hooks;
     }
 
-    std::vector<UpstreamSuspicion> takeSuspicions()
+    std::vector<UpstreamObservation> takeObservations()
     {
-        std::vector<UpstreamSuspicion> result;
+        std::vector<UpstreamObservation> result;
         const auto now = Clock::now();
         for (auto &[service, line] : board.lines()) {
-            for (const auto &it : line->pool.takeNewSuspects(now)) {
-                logEvent(LogLevel::Info,
-                         "upstream.suspected",
-                         {{"upstream", it.id}, {"suspicion", it.suspicion}, {"in_flight", it.inFlight}});
-                result.push_back({service, it.id, float(it.suspicion)});
+            for (auto &it : line->pool.takeObservations(now)) {
+                if (it.failures > 0) {
+                    logEvent(LogLevel::Info,
+                             "upstream.failing",
+                             {{"upstream", it.id}, {"failures", it.failures}, {"successes", it.successes}});
+                }
+                result.push_back({service, std::move(it)});
             }
         }
         return result;
@@ -175,7 +177,7 @@
 
     bool isReady() const
     {
-        return !stopRequested && follower.holdsState(Clock::now()) && follower.isComplete();
+        return !stopRequested && follower.isComplete();
     }
 
     awaitable<HttpResponse> answerReadiness(HttpRequest request)
--- a/src/gateway/grouplink.cpp
+++ b/src/gateway/grouplink.cpp
@@ -12,6 +12,7 @@
 /// Active instances tell their zone and each other that they live; others ask from time to time.
 constexpr Milliseconds BeatInterval{300};
 constexpr Milliseconds GreetingInterval{1500};
+constexpr Milliseconds ShareInterval{200};
 /// Until an active instance is heard.
 constexpr Milliseconds SearchInterval{250};
 /// Active instances ask the seeds again, so that parts of the fleet that lost each other meet.
@@ -65,8 +66,8 @@
         for (const auto &it : beat.heard) {
             m_group.hearOf(it.status, it.age, now);
         }
-        for (const auto &it : beat.suspicions) {
-            m_hooks.suspicionHeard(it);
+        for (const auto &it : beat.observations) {
+            m_hooks.observationHeard(it);
         }
         if (beat.answerWanted) {
             send(encodeBeat(makeBeat(now, false), m_settings.zones), beat.sender.ip);
@@ -107,14 +108,13 @@
     return beat;
 }
 
-void GroupLink::beatToGroup(TimePoint now, std::vector<UpstreamSuspicion> suspicions)
+void GroupLink::beatToGroup(TimePoint now)
 {
     m_lastBeat = now;
     auto beat = makeBeat(now, false);
     const auto &self = m_group.self();
     const auto members = m_group.members(now);
     // Members of the zone need to know each other; instances elsewhere only the active ones.
-    beat.suspicions = std::move(suspicions);
     const auto forZone = encodeBeat(beat, m_settings.zones);
     std::erase_if(beat.heard, [](const HeardInstance &it) { return it.status.role != InstanceRole::Active; });
     const auto forOthers = encodeBeat(beat, m_settings.zones);
@@ -127,6 +127,25 @@
     }
 }
 
+/// Tells the other active instances how attempts ended, so that one fault seen by one of them spares the work of all.
+void GroupLink::shareObservations(TimePoint now)
+{
+    auto observations = m_hooks.takeObservations();
+    for (std::size_t from = 0; from < observations.size(); from += MaxObservations) {
+        GroupBeat beat;
+        m_hooks.fillStatus(m_group.self());
+        beat.sender = m_group.self();
+        const auto to = std::min(from + MaxObservations, observations.size());
+        beat.observations.assign(observations.begin() + long(from), observations.begin() + long(to));
+        const auto bytes = encodeBeat(beat, m_settings.zones);
+        for (const auto &it : m_group.actives("", now)) {
+            if (it.ip != m_settings.ip) {
+                send(bytes, it.ip);
+            }
+        }
+    }
+}
+
 void GroupLink::greet(TimePoint now)
 {
     m_lastGreeting = now;
@@ -161,12 +180,15 @@
     const auto role = m_group.decideRole(now);
     if (role != before) {
         m_hooks.roleChanged(before, role);
-        beatToGroup(now, {});
+        beatToGroup(now);
     }
-    auto suspicions = m_hooks.takeSuspicions();
     const bool carriesTraffic = role == InstanceRole::Active || role == InstanceRole::Leaving;
-    if (carriesTraffic && (now - m_lastBeat >= BeatInterval || !suspicions.empty())) {
-        beatToGroup(now, std::move(suspicions));
+    if (carriesTraffic && now - m_lastBeat >= BeatInterval) {
+        beatToGroup(now);
+    }
+    if (now - m_lastShare >= ShareInterval) {
+        m_lastShare = now;
+        shareObservations(now);
     }
     const auto interval = m_group.actives(m_settings.zone, now).empty() ? SearchInterval
         : role == InstanceRole::Active                                  ? SeedInterval
@@ -178,7 +200,7 @@
 
 void GroupLink::announce()
 {
-    beatToGroup(Clock::now(), {});
+    beatToGroup(Clock::now());
 }
 
 } // namespace laburnumspar::detail
--- a/src/gateway/grouplink.h
+++ b/src/gateway/grouplink.h
@@ -16,8 +16,8 @@
     struct Hooks {
         /// Fills in what changes fast: load, revision and age of the store.
         std::function<void(InstanceStatus &)> fillStatus;
-        std::function<void(const UpstreamSuspicion &)> suspicionHeard;
-        std::function<std::vector<UpstreamSuspicion>()> takeSuspicions;
+        std::function<void(const UpstreamObservation &)> observationHeard;
+        std::function<std::vector<UpstreamObservation>()> takeObservations;
         std::function<void(InstanceRole before, InstanceRole after)> roleChanged;
     };
 
@@ -35,7 +35,8 @@
     void onDatagram(std::size_t length);
     void send(const Bytes &bytes, const std::string &ip);
     GroupBeat makeBeat(TimePoint now, bool answerWanted);
-    void beatToGroup(TimePoint now, std::vector<UpstreamSuspicion> suspicions);
+    void beatToGroup(TimePoint now);
+    void shareObservations(TimePoint now);
     void greet(TimePoint now);
 
     const GatewaySettings &m_settings;
@@ -45,6 +46,7 @@
     udp::endpoint m_from;
     std::array<std::uint8_t, 2048> m_buf{};
     TimePoint m_lastBeat;
+    TimePoint m_lastShare;
     TimePoint m_lastGreeting;
     TimePoint m_lastSeedGreeting;
     std::uint64_t m_rejected = 0;
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint32_t BeatMagic = 0x4c424731; // "LBG1"
 constexpr std::uint32_t ChangesMagic = 0x4c424d31; // "LBM1"
 constexpr std::size_t MaxIdLength = 255;
-constexpr std::size_t MaxSuspicions = 8;
+constexpr unsigned MaxCount = 255;
 constexpr std::size_t MaxKeyLength = 255;
 constexpr std::size_t MaxItemBytes = 1 << 20;
 constexpr std::size_t MaxItems = 1'000'000;
@@ -104,11 +104,14 @@
             saveIdentity(ar, beat.heard[n].status, zones);
             ar(std::uint16_t(std::clamp<std::int64_t>(beat.heard[n].age.count(), 0, 0xffff)));
         }
-        const auto suspicions = std::min(beat.suspicions.size(), MaxSuspicions);
-        saveLength(ar, suspicions, MaxSuspicions);
-        for (std::size_t n = 0; n < suspicions; ++n) {
-            auto suspicion = beat.suspicions[n];
-            ar(Text{suspicion.service, MaxIdLength}, Text{suspicion.id, MaxIdLength}, suspicion.level);
+        const auto observations = std::min(beat.observations.size(), MaxObservations);
+        saveLength(ar, observations, MaxObservations);
+        for (std::size_t n = 0; n < observations; ++n) {
+            auto it = beat.observations[n];
+            ar(Text{it.service, MaxIdLength},
+               Text{it.counts.id, MaxIdLength},
+               std::uint8_t(std::min(it.counts.successes, MaxCount)),
+               std::uint8_t(std::min(it.counts.failures, MaxCount)));
         }
     });
 }
@@ -126,11 +129,13 @@
             loadIdentity(ar, it.status, zones);
             it.age = Milliseconds(loadNumber<std::uint16_t>(ar));
         }
-        beat.suspicions.resize(loadLength(ar, MaxSuspicions));
-        for (auto &it : beat.suspicions) {
+        beat.observations.resize(loadLength(ar, MaxObservations));
+        for (auto &it : beat.observations) {
             Text service{it.service, MaxIdLength};
-            Text id{it.id, MaxIdLength};
-            ar(service, id, it.level);
+            Text id{it.counts.id, MaxIdLength};
+            ar(service, id);
+            it.counts.successes = unsigned(loadNumber<std::uint8_t>(ar));
+            it.counts.failures = unsigned(loadNumber<std::uint8_t>(ar));
         }
     });
     return beat;
--- a/src/gateway/groupmessages.h
+++ b/src/gateway/groupmessages.h
@@ -2,6 +2,7 @@
 
 #include "laburnumspar/instancegroup.h"
 #include "laburnumspar/storemirror.h"
+#include "laburnumspar/upstreampool.h"
 
 #include <cstdint>
 #include <span>
@@ -18,11 +19,10 @@
     Milliseconds age{0};
 };
 
-/// An upstream that the sender judges to fail its work.
-struct UpstreamSuspicion {
+/// How attempts of the sender at an upstream ended since its last message.
+struct UpstreamObservation {
     std::string service;
-    std::string id;
-    float level = 0;
+    UpstreamPool::Observation counts;
 };
 
 /// Datagram between instances.
@@ -30,12 +30,14 @@
     InstanceStatus sender;
     bool answerWanted = false;
     std::vector<HeardInstance> heard;
-    std::vector<UpstreamSuspicion> suspicions;
+    std::vector<UpstreamObservation> observations;
 };
 
 /// Most instances in one datagram; more do not fit 1,400 bytes.
 constexpr std::size_t MaxHeardInstances = 60;
 
+constexpr std::size_t MaxObservations = 32;
+
 /// `zones`: names in an order that all instances share.
 Bytes encodeBeat(const GroupBeat &beat, const std::vector<std::string> &zones);
 /// Throws DecodeError.
--- a/src/gateway/statedump.cpp
+++ b/src/gateway/statedump.cpp
@@ -29,7 +29,7 @@
         json::array upstreams;
         for (const auto &it : line->pool.summaries(now)) {
             upstreams.push_back(
-                {{"id", it.id}, {"in_flight", it.inFlight}, {"foreign", it.foreign}, {"suspicion", it.suspicion}});
+                {{"id", it.id}, {"in_flight", it.inFlight}, {"foreign", it.foreign}, {"fault_probability", it.faultProbability}});
         }
         services[service] = {{"waiting", line->waiting.size()}, {"upstreams", std::move(upstreams)}};
     }
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -19,9 +19,8 @@
 constexpr Milliseconds FailurePause{250};
 /// Pause between looks at what the other instances know.
 constexpr Milliseconds PeerPause{100};
-constexpr Milliseconds StandbyPause{500};
-/// Callers keep old addresses for some times their lifetime.
-constexpr Milliseconds UseTime{20'000};
+/// Time after the start in which the active instances are expected to tell what they have read.
+constexpr Milliseconds PeerPatience{3500};
 
 } // namespace
 
@@ -37,6 +36,7 @@
     , m_group(group)
     , m_board(board)
     , m_hooks(std::move(hooks))
+    , m_started(Clock::now())
     , m_store(context, settings.store)
     , m_pause(context)
 {
@@ -55,18 +55,10 @@
     m_pause.cancel();
 }
 
-void StoreFollower::noteUse(TimePoint now)
+/// Nobody has told this instance anything for a while.
+bool StoreFollower::mustReadAlone(TimePoint now) const
 {
-    const bool held = holdsState(now);
-    m_neededUntil = now + UseTime;
-    if (!held) {
-        wake();
-    }
-}
-
-bool StoreFollower::holdsState(TimePoint now) const
-{
-    return m_group.self().role != InstanceRole::Standby || now < m_neededUntil;
+    return !isComplete() && now - m_started > PeerPatience;
 }
 
 bool StoreFollower::isComplete() const
@@ -85,17 +77,13 @@
     for (;;) {
         auto now = Clock::now();
         expire(now);
-        Milliseconds pause = StandbyPause;
-        if (holdsState(now)) {
-            const auto *peer = newerPeer(now);
-            if (peer != nullptr && co_await pullFromPeer(peer->ip)) {
-                pause = Milliseconds(0);
-            } else if (m_group.readsStore(now) || !isComplete()) {
-                co_await readStore();
-                pause = m_failedSince ? FailurePause : ReadPause;
-            } else {
-                pause = PeerPause;
-            }
+        Milliseconds pause = PeerPause;
+        const auto *peer = newerPeer(now);
+        if (peer != nullptr && co_await pullFromPeer(peer->ip)) {
+            pause = Milliseconds(0);
+        } else if (m_group.readsStore(now) || mustReadAlone(now)) {
+            co_await readStore();
+            pause = m_failedSince ? FailurePause : ReadPause;
         }
         m_pause.expires_after(pause);
         co_await m_pause.async_wait(Awaitable);
@@ -149,6 +137,9 @@
         co_return false;
     }
     m_lastAnswer = now;
+    if (m_group.self().role == InstanceRole::Active) {
+        announceIfChanged(before);
+    }
     co_return m_mirror.newestChange() > before;
 }
 
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -28,11 +28,8 @@
                   Hooks hooks);
 
     void start();
-    /// Ends the wait before the next step, as when requests arrive at an instance that holds no state.
+    /// Ends the wait before the next step.
     void wake();
-    /// Requests arrive here: state is needed for a while, whatever the role of the instance.
-    void noteUse(TimePoint now);
-    bool holdsState(TimePoint now) const;
     /// Routes and upstreams are known.
     bool isComplete() const;
 
@@ -55,6 +52,7 @@
     awaitable<std::optional<PlatformEdge::Page>>
     callStore(const std::string &target, Milliseconds timeout, bool changes);
     awaitable<bool> pullFromPeer(const std::string &ip);
+    bool mustReadAlone(TimePoint now) const;
     const InstanceStatus *newerPeer(TimePoint now);
     void applyItem(StoreItem item, TimePoint now);
     void applyRemoval(const StoreItem &item, TimePoint now);
@@ -70,6 +68,7 @@
     InstanceGroup &m_group;
     ServiceBoard &m_board;
     Hooks m_hooks;
+    TimePoint m_started;
     HttpChannel m_store;
     asio::steady_timer m_pause;
     StoreMirror m_mirror;
@@ -77,7 +76,6 @@
     std::map<std::string, std::uint64_t> m_pendingRemovals; ///< revisions of removals that the registry holds back
     std::optional<TimePoint> m_lastAnswer;
     std::optional<TimePoint> m_failedSince;
-    TimePoint m_neededUntil;
     std::uint64_t m_storeCalls = 0;
     std::vector<InstanceStatus> m_peers;
 };
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -7,31 +7,36 @@
 
 namespace {
 
-/// Logarithm of the odds that an upstream without any sign fails its work.
-constexpr double PriorSuspicion = -3;
-constexpr double MostSuspicion = 4;
-/// Above this, an upstream gets only work that may be repeated, as a trial.
-constexpr double SuspectLevel = 0;
-/// Above this, an upstream gets no work that must not be repeated while another one has room.
-constexpr double DoubtLevel = -1.5;
-/// Evidence fades at this rate, since faults of this kind last for some seconds.
-constexpr double EvidenceFadeSeconds = 3;
-constexpr double FailureEvidence = 2.2;
-constexpr double UnreachableEvidence = 3.5;
-constexpr double SilenceEvidence = 3;
-/// A success speaks for an upstream, but one that fails half of its work has successes as well.
-constexpr double SuccessEvidence = -1.2;
-/// One unanswered request is a limited sign: a few requests run many times longer than the rest.
-constexpr double MostSilencePerAttempt = 2.5;
-/// Time between the trials of a suspect upstream.
-constexpr Milliseconds TrialInterval{700};
+/// Share of the work that fails at a sound upstream, and at a faulty one.
+constexpr double SoundFailureShare = 0.02;
+constexpr double FaultyFailureShare = 0.75;
+/// Time in which an upstream may change between sound and faulty.
+constexpr double ChangeSeconds = 6;
+constexpr double LeastPrior = 0.03;
+constexpr double MostPrior = 0.35;
+constexpr Milliseconds PriorInterval{500};
+/// Bounds of the probability, so that new evidence counts soon.
+constexpr double LeastFault = 0.002;
+constexpr double MostFault = 0.98;
+/// Above this, an upstream counts as faulty.
+constexpr double FaultyLevel = 0.5;
+/// What another instance observes may be due to its own path.
+constexpr double RemoteWeight = 0.5;
+/// A refused connection speaks against an upstream more than a failed request.
+constexpr double UnreachableEvidence = 4.5;
+/// Time between the trials of a faulty upstream.
+constexpr Milliseconds TrialInterval{2000};
+/// After a first good trial.
+constexpr Milliseconds ConfirmInterval{300};
+constexpr double ConfirmLevel = 0.9;
 /// An upstream that refuses work as full gets none for this time.
 constexpr Milliseconds FullPause{80};
 /// Reports of the load by other instances' work halve in this time.
 constexpr double ForeignHalfLifeSeconds = 0.5;
 /// Costs, in shares of an upstream's capacity.
 constexpr double RemoteCost = 0.35;
-constexpr double DoubtCost = 0.5;
+constexpr double FaultCost = 1.5;
+constexpr double LastChanceFaultCost = 10;
 constexpr double ColdCost = 0.6;
 constexpr double RandomCost = 0.1;
 constexpr double SlownessShare = 0.2;
@@ -42,11 +47,28 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+double withEvidence(double probability, double logOdds)
+{
+    const double odds = probability / (1 - probability) * std::exp(logOdds);
+    return std::clamp(odds / (1 + odds), LeastFault, MostFault);
+}
+
+const double SuccessEvidence = std::log((1 - FaultyFailureShare) / (1 - SoundFailureShare));
+const double FailureEvidence = std::log(FaultyFailureShare / SoundFailureShare);
+
+/// Evidence of an attempt that has not ended: a sound upstream is silent for this time as often as `longer` says, a
+/// faulty one also when it fails the work.
+double silenceEvidence(double longer)
+{
+    return std::log((FaultyFailureShare + (1 - FaultyFailureShare) * longer) / longer);
+}
+
 } // namespace
 
 UpstreamPool::UpstreamPool(std::string zone, std::uint64_t seed)
     : m_zone(std::move(zone))
     , m_random(seed)
+    , m_prior(LeastPrior)
 {
 }
 
@@ -65,6 +87,8 @@
         }
         upstream = {};
         upstream.warmAt = now + entry.warmupLeft;
+        upstream.fault = m_prior;
+        upstream.faultAt = now;
     }
     upstream.entry = entry;
 }
@@ -85,18 +109,19 @@
 {
     Upstream *best = nullptr;
     double bestCost = 0;
-    double bestSuspicion = 0;
+    double bestFault = 0;
+    updatePrior(now);
     for (auto &[id, upstream] : m_upstreams) {
         if (!hasRoom(upstream, now)
             || std::find(request.exclude.begin(), request.exclude.end(), id) != request.exclude.end()) {
             continue;
         }
-        const double suspicion = suspicionOf(upstream, now);
-        const double cost = costOf(upstream, suspicion, request, now);
+        const double fault = faultWithSilence(upstream, now);
+        const double cost = costOf(upstream, fault, request, now);
         if (best == nullptr || cost < bestCost) {
             best = &upstream;
             bestCost = cost;
-            bestSuspicion = suspicion;
+            bestFault = fault;
         }
     }
     if (best == nullptr) {
@@ -104,9 +129,9 @@
     }
     const auto attempt = m_nextAttempt++;
     best->inFlight.push_back({attempt, now, request.latency});
-    best->lastStart = now;
+    best->lastTrial = now;
     m_attempts.emplace(attempt, best->entry.id);
-    return Choice{attempt, best->entry, bestSuspicion};
+    return Choice{attempt, best->entry, bestFault};
 }
 
 void UpstreamPool::finish(AttemptId id, AttemptEnd end, const std::optional<ReportedLoad> &load, TimePoint now)
@@ -120,20 +145,19 @@
     const auto it = std::find_if(
         upstream.inFlight.begin(), upstream.inFlight.end(), [id](const Attempt &attempt) { return attempt.id == id; });
     const Attempt attempt = *it;
-    // What its silence told is kept as evidence; otherwise an abandoned attempt would clear its upstream.
-    const double suspicionBefore = suspicionOf(upstream, now);
+    const double longer = attempt.latency->shareLongerThan(now - attempt.started);
     upstream.inFlight.erase(it);
     switch (end) {
     case AttemptEnd::Success:
         addEvidence(upstream, SuccessEvidence, now);
-        upstream.lastSuccess = now;
+        ++upstream.unpublished.successes;
+        upstream.silencePublished = false;
         learnTime(upstream, attempt, now);
         break;
     case AttemptEnd::Failure:
-        addEvidence(upstream, FailureEvidence, now);
-        break;
     case AttemptEnd::Silence:
-        addEvidence(upstream, SilenceEvidence, now);
+        addEvidence(upstream, FailureEvidence, now);
+        ++upstream.unpublished.failures;
         break;
     case AttemptEnd::Unreachable:
         addEvidence(upstream, UnreachableEvidence, now);
@@ -142,7 +166,7 @@
         upstream.fullUntil = now + FullPause;
         break;
     case AttemptEnd::Abandoned:
-        addEvidence(upstream, std::max(0.0, suspicionBefore - suspicionOf(upstream, now)), now);
+        addEvidence(upstream, silenceEvidence(longer), now);
         break;
     case AttemptEnd::Refused:
         break;
@@ -152,30 +176,33 @@
     }
 }
 
-void UpstreamPool::hearSuspicion(const std::string &id, double suspicion, TimePoint now)
+void UpstreamPool::hear(const Observation &observation, TimePoint now)
 {
-    const auto it = m_upstreams.find(id);
+    const auto it = m_upstreams.find(observation.id);
     if (it == m_upstreams.end()) {
         return;
     }
-    auto &upstream = it->second;
-    const double difference = std::min(suspicion, MostSuspicion) - PriorSuspicion - evidenceOf(upstream, now);
-    // Another instance may have a bad path of its own: half of what it says counts.
-    addEvidence(upstream, std::max(0.0, difference) / 2, now);
+    const double evidence
+        = double(observation.successes) * SuccessEvidence + double(observation.failures) * FailureEvidence;
+    addEvidence(it->second, RemoteWeight * evidence, now);
+    it->second.lastTrial = now;
 }
 
-std::vector<UpstreamPool::Summary> UpstreamPool::takeNewSuspects(TimePoint now)
+std::vector<UpstreamPool::Observation> UpstreamPool::takeObservations(TimePoint now)
 {
-    std::vector<Summary> suspects;
+    std::vector<Observation> observations;
     for (auto &[id, upstream] : m_upstreams) {
-        const double suspicion = suspicionOf(upstream, now);
-        const bool suspect = suspicion > (upstream.suspect ? DoubtLevel : SuspectLevel);
-        if (suspect && !upstream.suspect) {
-            suspects.push_back({id, upstream.inFlight.size(), foreignOf(upstream, now), suspicion});
+        if (!upstream.silencePublished && faultWithSilence(upstream, now) > FaultyLevel
+            && faultOf(upstream, now) <= FaultyLevel) {
+            ++upstream.unpublished.failures;
+            upstream.silencePublished = true;
+        }
+        if (upstream.unpublished.successes + upstream.unpublished.failures > 0) {
+            observations.push_back(std::exchange(upstream.unpublished, {}));
+            observations.back().id = id;
         }
-        upstream.suspect = suspect;
     }
-    return suspects;
+    return observations;
 }
 
 unsigned UpstreamPool::slots() const
@@ -201,26 +228,24 @@
 {
     std::vector<Summary> result;
     for (const auto &[id, upstream] : m_upstreams) {
-        result.push_back({id, upstream.inFlight.size(), foreignOf(upstream, now), suspicionOf(upstream, now)});
+        result.push_back({id, upstream.inFlight.size(), foreignOf(upstream, now), faultWithSilence(upstream, now)});
     }
     return result;
 }
 
-double UpstreamPool::evidenceOf(const Upstream &upstream, TimePoint now) const
+double UpstreamPool::faultOf(const Upstream &upstream, TimePoint now) const
 {
-    return upstream.evidence * std::exp(-seconds(now - upstream.evidenceAt) / EvidenceFadeSeconds);
+    const double kept = std::exp(-seconds(now - upstream.faultAt) / ChangeSeconds);
+    return m_prior + (upstream.fault - m_prior) * kept;
 }
 
-double UpstreamPool::suspicionOf(const Upstream &upstream, TimePoint now) const
+double UpstreamPool::faultWithSilence(const Upstream &upstream, TimePoint now) const
 {
-    double suspicion = PriorSuspicion + evidenceOf(upstream, now);
+    double evidence = 0;
     for (const auto &attempt : upstream.inFlight) {
-        const double longer = attempt.latency->shareLongerThan(now - attempt.started);
-        suspicion += std::min(-std::log(longer), MostSilencePerAttempt);
+        evidence += silenceEvidence(attempt.latency->shareLongerThan(now - attempt.started));
     }
-    // Requests that are merely running are no sign: on average each adds one.
-    suspicion -= std::min(double(upstream.inFlight.size()), 2.0);
-    return std::min(suspicion, MostSuspicion);
+    return withEvidence(faultOf(upstream, now), evidence);
 }
 
 double UpstreamPool::foreignOf(const Upstream &upstream, TimePoint now) const
@@ -234,7 +259,7 @@
         && double(upstream.inFlight.size()) + foreignOf(upstream, now) + 0.5 < double(upstream.entry.slots);
 }
 
-double UpstreamPool::costOf(const Upstream &upstream, double suspicion, const Request &request, TimePoint now)
+double UpstreamPool::costOf(const Upstream &upstream, double fault, const Request &request, TimePoint now)
 {
     const double slots = std::max(1.0, double(upstream.entry.slots));
     double cost = (double(upstream.inFlight.size()) + foreignOf(upstream, now)) / slots;
@@ -242,21 +267,32 @@
     cost += upstream.entry.zone == m_zone ? 0 : RemoteCost;
     cost += now < upstream.warmAt ? ColdCost : 0;
     cost += SlownessShare * std::max(0.0, upstream.slowness - 1);
-    if (request.idempotent) {
-        // A suspect upstream is tried from time to time, to see whether it has recovered.
-        const bool trial = suspicion > SuspectLevel && now - upstream.lastStart > TrialInterval;
-        return trial ? cost - 1 : cost + DoubtCost * std::max(0.0, suspicion - DoubtLevel);
+    if (request.mustSucceed) {
+        return cost + LastChanceFaultCost * fault;
     }
-    const bool proven = now - upstream.lastSuccess < std::chrono::seconds(2);
-    cost += proven ? 0 : DoubtCost;
-    return cost + DoubtCost * std::max(0.0, suspicion - DoubtLevel) * 2;
+    // A faulty upstream is tried from time to time, to see whether it has recovered.
+    const auto interval = fault < ConfirmLevel ? ConfirmInterval : TrialInterval;
+    const bool trial = fault > FaultyLevel && upstream.inFlight.empty() && now - upstream.lastTrial > interval;
+    return trial ? cost - FaultCost : cost + FaultCost * fault;
+}
+
+void UpstreamPool::addEvidence(Upstream &upstream, double logOdds, TimePoint now)
+{
+    upstream.fault = withEvidence(faultOf(upstream, now), logOdds);
+    upstream.faultAt = now;
 }
 
-void UpstreamPool::addEvidence(Upstream &upstream, double evidence, TimePoint now)
+void UpstreamPool::updatePrior(TimePoint now)
 {
-    const double sum = evidenceOf(upstream, now) + evidence;
-    upstream.evidence = std::clamp(sum, -1.0, MostSuspicion - PriorSuspicion);
-    upstream.evidenceAt = now;
+    if (now - m_priorAt < PriorInterval || m_upstreams.empty()) {
+        return;
+    }
+    double sum = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        sum += faultOf(upstream, now);
+    }
+    m_prior = std::clamp(sum / double(m_upstreams.size()), LeastPrior, MostPrior);
+    m_priorAt = now;
 }
 
 void UpstreamPool::learnLoad(Upstream &upstream, const ReportedLoad &load, TimePoint now)
