--- /dev/null
+++ b/tests/test_platformedge.cpp
@@ -0,0 +1,156 @@
+#include "platform/edge.h"
+#include "platform/settingsfile.h"
+
+#include "laburnumspar/errors.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspar;
+
+namespace {
+
+const PlatformEdge edge = platform::makeEdge();
+
+StoreMeaning decode(const std::string &key, const std::string &value)
+{
+    return edge.decodeItem({key, value, 1, false});
+}
+
+const std::string configText = R"({"version":"r12","routes":{"columns":["name","host","prefix","kind","timeout_s",
+    "slo_s","priority","service","attempts","weighted_services"],"rows":[["pay","a.example","/pay/","unsafe",5,1.2,1,"s1",
+    2,null],["look","a.example","/look/","safe",4,0.5,2,null,3,[{"service":"s1","weight":90},{"service":"s2","weight":10}]]]},
+    "services":{"columns":["name","health_path","max_conns","protocol","tls"],"rows":[["s1","/healthz",360,"h1",false],
+    ["s2","/healthz",60,"h1",false]]},"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,
+    "idle_timeout_s":1.5}})";
+
+const std::string serverText = R"({"service":"s1","addr":"10.128.0.9:8080","zone":"palermo","version":"v1","slots":6,
+    "state":"ready","warmup_left_s":1.5,"seq":4,"born":1791199727083})";
+
+const std::string settingsText = R"([self]
+node_name = "front-1"
+ip = "10.1.0.35"
+zone = "palermo"
+unknown = 1
+[self.limits]
+cpu_share = 0.2
+cpus = 1
+[network]
+seeds = ["10.1.0.35:8146"]
+[network.listen]
+front = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+control = "10.1.0.35:8146"
+directory = "10.1.0.35:8143"
+[network.zones]
+palermo = "sicilia"
+catania = "sicilia"
+[platform.platform]
+addr = "10.200.1.7:8142"
+[terms.bounds]
+grace_s = 6
+retry_slack = 58
+)";
+
+} // namespace
+
+// Guards against columns that are read by place instead of by name, and times in the wrong unit.
+BOOST_AUTO_TEST_CASE(configurationIsDecodedByColumn)
+{
+    const auto meaning = decode("op/config", configText);
+    const auto table = std::get<std::shared_ptr<const RouteTable>>(meaning);
+    BOOST_TEST(table->version() == 12U);
+    BOOST_TEST(table->limits().idleTimeout.count() == 1500);
+    const auto *pay = table->match("a.example", "/pay/1");
+    BOOST_REQUIRE(pay != nullptr);
+    BOOST_TEST(!pay->idempotent);
+    BOOST_TEST(pay->timeout.count() == 5000);
+    BOOST_TEST(pay->objective.count() == 1200);
+    BOOST_TEST(pay->attempts == 2U);
+    const auto *look = table->match("a.example", "/look/");
+    BOOST_REQUIRE(look != nullptr);
+    BOOST_TEST(look->idempotent);
+    BOOST_TEST(look->targets.size() == 2U);
+    BOOST_TEST(look->targets[1].weight == 10);
+}
+
+// Guards against a faulty configuration that takes the place of a valid one.
+BOOST_AUTO_TEST_CASE(faultyConfigurationsAreRefused)
+{
+    BOOST_CHECK_THROW(decode("op/config", "{"), DecodeError);
+    BOOST_CHECK_THROW(decode("op/config", "{}"), DecodeError);
+    BOOST_CHECK_THROW(decode("op/config", R"({"version":"12"})"), DecodeError);
+    auto unknownService = configText;
+    unknownService.replace(unknownService.find("\"s1\",\n"), 4, "\"s9\"");
+    BOOST_CHECK_THROW(decode("op/config", unknownService), Error);
+}
+
+// Guards against entries of another writer that name an upstream to use.
+BOOST_AUTO_TEST_CASE(serverEntriesAreChecked)
+{
+    const auto upstream = std::get<RegisteredUpstream>(decode("servers/i-1", serverText));
+    BOOST_TEST(upstream.id == "i-1");
+    BOOST_TEST(upstream.slots == 6U);
+    BOOST_TEST(upstream.warmupLeft.count() == 1500);
+    BOOST_TEST(upstream.startedAtMs == 1791199727083);
+    for (const auto &[from, to] :
+         std::vector<std::pair<std::string, std::string>>{{"\"ready\"", "\"resting\""},
+                                                          {"\"slots\":6", "\"slots\":\"6\""},
+                                                          {"\"slots\":6", "\"slots\":0"},
+                                                          {"10.128.0.9:8080", "somewhere"},
+                                                          {"\"service\":\"s1\",", ""},
+                                                          {"\"zone\":\"palermo\"", "\"zone\":null"}}) {
+        auto text = serverText;
+        text.replace(text.find(from), from.size(), to);
+        BOOST_CHECK_THROW(decode("servers/i-1", text), DecodeError);
+    }
+    BOOST_CHECK_THROW(decode("servers/i-1", "\xff\xfe"), DecodeError);
+    BOOST_TEST(std::holds_alternative<std::monostate>(decode("other/key", "x")));
+}
+
+// Guards against values that are not base64, and removals that are taken for empty items.
+BOOST_AUTO_TEST_CASE(storeRepliesAreDecoded)
+{
+    const auto page = edge.decodeChanges(
+        R"({"events":[{"key":"a","value":"bm9kZS0x","rev":4,"created_rev":1,"lease":0},{"key":"b","rev":5,"deleted":true}],"as_of":9})");
+    BOOST_TEST(page.revision == 9U);
+    BOOST_REQUIRE(page.items.size() == 2U);
+    BOOST_TEST(page.items[0].value == "node-1");
+    BOOST_TEST(page.items[1].removed);
+    BOOST_CHECK_THROW(edge.decodeChanges("{}"), DecodeError);
+    BOOST_CHECK_THROW(edge.decodePage(R"({"items":[{"key":"a","value":"!!","rev":4}],"as_of":9})"), DecodeError);
+    BOOST_TEST(edge.decodePage(R"({"items":[],"truncated":true,"as_of":9})").truncated);
+}
+
+// Guards against a settings file that is refused for a field that the platform adds, or accepted without one that is
+// needed.
+BOOST_AUTO_TEST_CASE(settingsFileIsCheckedButOpenForNewFields)
+{
+    const auto settings = platform::parseSettings(settingsText, "local.toml");
+    BOOST_TEST(settings.capacity == 200);
+    BOOST_TEST(settings.bounds.retryReserve == 58);
+    BOOST_TEST((settings.callers == Endpoint{"10.1.0.35", 8144}));
+    BOOST_TEST(settings.zones.size() == 2U);
+    auto missing = settingsText;
+    missing.replace(missing.find("front = "), 8, "other = ");
+    try {
+        platform::parseSettings(missing, "local.toml");
+        BOOST_ERROR("accepted without an address for callers");
+    } catch (const SettingsError &e) {
+        BOOST_TEST(e.key() == "network.listen.front");
+        BOOST_TEST(e.file() == "local.toml");
+    }
+    auto wrong = settingsText;
+    wrong.replace(wrong.find("retry_slack = 58"), 16, "retry_slack = -1");
+    BOOST_CHECK_THROW(platform::parseSettings(wrong, "local.toml"), SettingsError);
+}
+
+// Guards against a question for addresses that loses the zone of the caller.
+BOOST_AUTO_TEST_CASE(addressQuestionsAreDecoded)
+{
+    BOOST_TEST(edge.decodeAddressQuestion("/-/resolve?name=a&region=r&zone=palermo").value() == "palermo");
+    BOOST_TEST(edge.decodeAddressQuestion("/-/resolve").value() == "");
+    BOOST_TEST(!edge.decodeAddressQuestion("/other?zone=palermo"));
+    BOOST_TEST(edge.encodeAddresses({{"10.1.0.1", 80}}, Milliseconds(1500))
+               == R"({"addrs":["10.1.0.1:80"],"ttl_s":1.5E0})");
+}
--- /dev/null
+++ b/tests/test_upstreampool.cpp
@@ -0,0 +1,186 @@
+#include "laburnumspar/upstreampool.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace laburnumspar;
+using namespace std::chrono_literals;
+
+namespace {
+
+RegisteredUpstream makeUpstream(const std::string &id, const std::string &zone = "palermo", unsigned slots = 4)
+{
+    RegisteredUpstream upstream;
+    upstream.id = id;
+    upstream.service = "orders";
+    upstream.address = {"10.0.0.1", std::uint16_t(1000 + id.size())};
+    upstream.zone = zone;
+    upstream.slots = slots;
+    return upstream;
+}
+
+struct Fixture {
+    Fixture()
+    {
+        for (const auto *id : {"a", "b", "c", "d"}) {
+            pool.put(makeUpstream(id), now);
+        }
+    }
+
+    std::optional<UpstreamPool::Choice> start(bool mustSucceed, std::vector<std::string> exclude = {})
+    {
+        return pool.start({&latency, mustSucceed, std::move(exclude)}, now);
+    }
+
+    void run(AttemptEnd end, const std::string &only, int times)
+    {
+        for (int n = 0; n < times; ++n) {
+            std::vector<std::string> others;
+            for (const auto &it : pool.summaries(now)) {
+                if (it.id != only) {
+                    others.push_back(it.id);
+                }
+            }
+            const auto choice = start(false, others);
+            BOOST_REQUIRE(choice);
+            now += 80ms;
+            pool.finish(choice->attempt, end, std::nullopt, now);
+        }
+    }
+
+    double faultOf(const std::string &id)
+    {
+        for (const auto &it : pool.summaries(now)) {
+            if (it.id == id) {
+                return it.faultProbability;
+            }
+        }
+        return -1;
+    }
+
+    std::map<std::string, int> choices(bool mustSucceed, int times)
+    {
+        std::map<std::string, int> counts;
+        for (int n = 0; n < times; ++n) {
+            const auto choice = start(mustSucceed);
+            BOOST_REQUIRE(choice);
+            ++counts[choice->upstream.id];
+            pool.finish(choice->attempt, AttemptEnd::Refused, std::nullopt, now);
+        }
+        return counts;
+    }
+
+    LatencyModel latency{100ms};
+    TimePoint now{1000s};
+    UpstreamPool pool{"palermo", 1};
+};
+
+} // namespace
+
+// Guards against work that has one chance at an upstream that has just failed twice.
+BOOST_FIXTURE_TEST_CASE(failingUpstreamGetsNoWorkWithOneChance, Fixture)
+{
+    run(AttemptEnd::Failure, "a", 2);
+    BOOST_TEST(faultOf("a") > 0.8);
+    BOOST_TEST(choices(true, 100)["a"] == 0);
+}
+
+// Guards against an upstream that hangs most of its work and is trusted again after each answer.
+BOOST_FIXTURE_TEST_CASE(singleAnswerDoesNotClearAFailingUpstream, Fixture)
+{
+    run(AttemptEnd::Silence, "a", 3);
+    run(AttemptEnd::Success, "a", 1);
+    BOOST_TEST(faultOf("a") > 0.5);
+    run(AttemptEnd::Success, "a", 4);
+    BOOST_TEST(faultOf("a") < 0.2);
+}
+
+// Guards against learning of a hanging upstream only when its requests time out.
+BOOST_FIXTURE_TEST_CASE(silenceOfRunningWorkRaisesTheProbability, Fixture)
+{
+    const auto first = start(false, {"b", "c", "d"});
+    const auto second = start(false, {"b", "c", "d"});
+    BOOST_REQUIRE(first);
+    BOOST_REQUIRE(second);
+    const double atStart = faultOf("a");
+    now += 100ms;
+    BOOST_TEST(faultOf("a") < 0.2);
+    now += 400ms;
+    BOOST_TEST(faultOf("a") > 0.5);
+    BOOST_TEST(atStart < 0.1);
+    const auto observations = pool.takeObservations(now);
+    BOOST_REQUIRE(observations.size() == 1U);
+    BOOST_TEST(observations[0].id == "a");
+    BOOST_TEST(observations[0].failures == 1U);
+    BOOST_TEST(pool.takeObservations(now).empty());
+}
+
+// Guards against avoiding an upstream for ever: it is tried with work that can be repeated, rarely at first and soon
+// again after a good trial.
+BOOST_FIXTURE_TEST_CASE(faultyUpstreamIsTriedFromTimeToTime, Fixture)
+{
+    run(AttemptEnd::Silence, "a", 4);
+    BOOST_TEST(choices(false, 50)["a"] == 0);
+    now += 2100ms;
+    BOOST_TEST(choices(false, 50)["a"] == 1);
+    BOOST_TEST(choices(true, 50)["a"] == 0);
+}
+
+// Guards against one fault that each instance has to find by itself.
+BOOST_FIXTURE_TEST_CASE(observationsOfOtherInstancesCount, Fixture)
+{
+    pool.hear({"a", 0, 3}, now);
+    BOOST_TEST(faultOf("a") > 0.6);
+    BOOST_TEST(choices(true, 50)["a"] == 0);
+    pool.hear({"unknown", 0, 3}, now);
+}
+
+// Guards against more work than an upstream has slots, also by other instances that it reports.
+BOOST_FIXTURE_TEST_CASE(slotsAreNotExceeded, Fixture)
+{
+    for (int n = 0; n < 16; ++n) {
+        BOOST_TEST(bool(start(true)));
+    }
+    BOOST_TEST(!start(true));
+    BOOST_TEST(pool.slots() == 16U);
+    BOOST_TEST(pool.freeSlots(now) == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(reportedForeignWorkTakesSlots, Fixture)
+{
+    const auto choice = start(true, {"b", "c", "d"});
+    pool.finish(choice->attempt, AttemptEnd::Success, ReportedLoad{4, 1, 4}, now);
+    BOOST_TEST(!start(true, {"b", "c", "d"}));
+    now += 3s;
+    BOOST_TEST(bool(start(true, {"b", "c", "d"})));
+}
+
+// Guards against bytes between zones while the own zone has room.
+BOOST_FIXTURE_TEST_CASE(ownZoneIsPreferred, Fixture)
+{
+    pool.put(makeUpstream("far", "messina"), now);
+    BOOST_TEST(choices(true, 100)["far"] == 0);
+}
+
+// Guards against work for an upstream that drains, and against a crash when its attempts end later.
+BOOST_FIXTURE_TEST_CASE(drainingUpstreamGetsNothingMore, Fixture)
+{
+    const auto running = start(true, {"b", "c", "d"});
+    auto draining = makeUpstream("a");
+    draining.phase = UpstreamPhase::Draining;
+    pool.put(draining, now);
+    BOOST_TEST(!pool.knows("a"));
+    pool.finish(running->attempt, AttemptEnd::Success, std::nullopt, now);
+    BOOST_TEST(choices(true, 50)["a"] == 0);
+}
+
+// Guards against what was learned of an earlier start that had the same identity.
+BOOST_FIXTURE_TEST_CASE(newStartUnderTheSameIdentityIsUnknown, Fixture)
+{
+    run(AttemptEnd::Silence, "a", 4);
+    auto again = makeUpstream("a");
+    again.startedAtMs = 99;
+    pool.put(again, now);
+    BOOST_TEST(faultOf("a") < 0.4);
+}
