waiting line: work that can be in time goes first; admission by the pace of the service

Now it waits for a sound upstream, is refused at once when the line is longer than its objective, and late work goes last.

--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -86,9 +86,9 @@
     /// Ends of own attempts since the last call. An upstream that has become silent counts as a failure.
     std::vector<Observation> takeObservations(TimePoint now);
 
-    /// Slots of all upstreams that may get work.
-    unsigned slots() const;
-    /// Slots that are not known to be taken.
+    /// Attempts at sound upstreams that have not ended.
+    std::size_t inFlight(TimePoint now) const;
+    /// Slots of sound upstreams that are not known to be taken.
     double freeSlots(TimePoint now) const;
     bool empty() const
     {
@@ -126,6 +126,9 @@
     double faultWithSilence(const Upstream &upstream, TimePoint now) const;
     double foreignOf(const Upstream &upstream, TimePoint now) const;
     bool hasRoom(const Upstream &upstream, TimePoint now) const;
+    bool isTrialDue(const Upstream &upstream, double fault, TimePoint now) const;
+    bool isAcceptable(const Upstream &upstream, double fault, const Request &request, TimePoint now) const;
+    bool hasSound(TimePoint now) const;
     double costOf(const Upstream &upstream, double fault, const Request &request, TimePoint now);
     void addEvidence(Upstream &upstream, double logOdds, TimePoint now);
     void learnLoad(Upstream &upstream, const ReportedLoad &load, TimePoint now);
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds HedgeRetry{60};
 /// Share of the work that ends within the time that a request must have left to be started.
 constexpr double LeastTimeQuantile = 0.3;
+/// A shorter wait than this is never a reason to refuse.
+constexpr Milliseconds LeastWait{50};
 /// The final answer has to reach the caller before its deadline.
 constexpr Milliseconds AnswerMargin{20};
 constexpr Milliseconds LeastRetryAfter{100};
@@ -99,7 +101,7 @@
 void Forwarder::dispatchWaiting(ServiceLine &line)
 {
     const auto now = Clock::now();
-    while (const auto place = line.waiting.front()) {
+    while (const auto place = line.waiting.front(now)) {
         const auto it = m_waiting.find(place->ticket);
         const auto forwarding = it == m_waiting.end() ? nullptr : it->second.lock();
         if (!forwarding) {
@@ -170,9 +172,8 @@
             self->onDeadline();
         }
     });
-    // Nobody overtakes a request that waits already and is as urgent.
-    const auto front = m_line.waiting.front();
-    if (front && front->priority <= m_route.priority) {
+    // Nobody overtakes those that wait already.
+    if (m_line.waiting.size() > 0) {
         wait(now);
         m_forwarder.dispatchWaiting(m_line);
     } else if (!tryStart(now)) {
@@ -192,6 +193,7 @@
         return false;
     }
     stopWaiting();
+    m_line.waiting.noteStart(now);
     launch(*choice, now);
     return true;
 }
@@ -205,11 +207,16 @@
     if (m_place) {
         return;
     }
-    const auto objective = m_route.objective.count() > 0 ? m_route.objective : Milliseconds(1000);
-    m_place = WaitingLine::Place{m_route.priority, m_request.arrived + objective, m_forwarder.m_nextTicket++};
+    const auto objective
+        = m_route.objective.count() > 0 ? m_request.arrived + m_route.objective : TimePoint(m_deadline);
+    const auto startBy = objective - m_latency.quantile(0.5);
+    m_place = WaitingLine::makePlace(m_route.priority, startBy, m_forwarder.m_nextTicket++);
     m_line.waiting.add(*m_place);
     m_forwarder.m_waiting[m_place->ticket] = weak_from_this();
-    checkWait(now);
+    // A request that would be late is refused while its caller can still go elsewhere; waiting would end in vain.
+    if (now + expectedWait(now) > std::max(startBy, now + LeastWait)) {
+        refuse("line is too long", now);
+    }
 }
 
 void Forwarding::stopWaiting()
@@ -226,12 +233,23 @@
     if (!m_place) {
         return;
     }
-    const auto expected = expectedWait(m_line.waiting.ahead(*m_place), m_line.pool.slots(), m_latency.meanSeconds());
+    // Work that is late already is overtaken by all that is not.
+    const auto expected = expectedWait(now) * (m_place->startBy < now ? 2 : 0);
     if (now + expected + m_latency.quantile(LeastTimeQuantile) > m_deadline) {
         refuse("no slot within the deadline", now);
     }
 }
 
+/// Time until the requests ahead have been started, at the pace of the last second.
+Milliseconds Forwarding::expectedWait(TimePoint now) const
+{
+    const auto ahead = m_place ? m_line.waiting.ahead(*m_place, now) : m_line.waiting.size();
+    // Those that run will end, so the pace is never below what they make room for.
+    const double ending = double(m_line.pool.inFlight(now)) / std::max(m_latency.meanSeconds(), 0.001);
+    const double rate = std::max({m_line.waiting.startRate(now), ending, 1.0});
+    return Milliseconds(std::int64_t(1000 * double(ahead) / rate));
+}
+
 Milliseconds Forwarding::left(TimePoint now) const
 {
     return std::chrono::duration_cast<Milliseconds>(m_deadline - now);
@@ -407,8 +425,7 @@
 
 void Forwarding::refuse(std::string_view detail, TimePoint now)
 {
-    const auto wait = expectedWait(m_line.waiting.size(), m_line.pool.slots(), m_latency.meanSeconds());
-    const auto retryAfter = std::clamp(wait, LeastRetryAfter, MostRetryAfter);
+    const auto retryAfter = std::clamp(expectedWait(now), LeastRetryAfter, MostRetryAfter);
     answer(ownAnswer(http::status::service_unavailable, detail, m_request.id, m_forwarder.m_headers, retryAfter),
            Outcome::NotRun,
            detail,
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -87,6 +87,7 @@
     };
 
     bool isLastChance() const;
+    Milliseconds expectedWait(TimePoint now) const;
     Milliseconds left(TimePoint now) const;
     void launch(const UpstreamPool::Choice &choice, TimePoint now);
     void wait(TimePoint now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,7 +26,7 @@
 constexpr Milliseconds AddressLifetime{1500};
 constexpr int MostLifetimes = 3;
 /// Time before the end of the grace time at which the process ends by itself.
-constexpr Milliseconds StopMargin{200};
+constexpr Milliseconds StopMargin{600};
 /// An instance that carries no traffic leaves as soon as the others know.
 constexpr Milliseconds QuietStopTime{300};
 constexpr Milliseconds LoadInterval{1000};
@@ -283,7 +283,7 @@
         }
         const auto now = Clock::now();
         stopRequested = now;
-        carriedTraffic = group.self().role != InstanceRole::Standby || callers.connections() > 0;
+        carriedTraffic = group.self().role == InstanceRole::Active || callers.connections() > 0;
         logEvent(LogLevel::Info,
                  "instance.stopping",
                  {{"role", name(group.self().role)}, {"connections", callers.connections()}});
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -18,8 +18,10 @@
 /// Bounds of the probability, so that new evidence counts soon.
 constexpr double LeastFault = 0.002;
 constexpr double MostFault = 0.98;
-/// Above this, an upstream counts as faulty.
+/// Above this, an upstream counts as faulty and gets trials only, while there are others.
 constexpr double FaultyLevel = 0.5;
+/// The same for work that has one chance: waiting for a slot elsewhere is better.
+constexpr double LastChanceFaultyLevel = 0.4;
 /// What another instance observes may be due to its own path.
 constexpr double RemoteWeight = 0.5;
 /// A refused connection speaks against an upstream more than a failed request.
@@ -111,12 +113,16 @@
     double bestCost = 0;
     double bestFault = 0;
     updatePrior(now);
+    const bool onlyFaulty = !hasSound(now);
     for (auto &[id, upstream] : m_upstreams) {
         if (!hasRoom(upstream, now)
             || std::find(request.exclude.begin(), request.exclude.end(), id) != request.exclude.end()) {
             continue;
         }
         const double fault = faultWithSilence(upstream, now);
+        if (!onlyFaulty && !isAcceptable(upstream, fault, request, now)) {
+            continue;
+        }
         const double cost = costOf(upstream, fault, request, now);
         if (best == nullptr || cost < bestCost) {
             best = &upstream;
@@ -205,11 +211,11 @@
     return observations;
 }
 
-unsigned UpstreamPool::slots() const
+std::size_t UpstreamPool::inFlight(TimePoint now) const
 {
-    unsigned total = 0;
+    std::size_t total = 0;
     for (const auto &[id, upstream] : m_upstreams) {
-        total += upstream.entry.slots;
+        total += faultOf(upstream, now) > FaultyLevel ? 0 : upstream.inFlight.size();
     }
     return total;
 }
@@ -218,6 +224,9 @@
 {
     double total = 0;
     for (const auto &[id, upstream] : m_upstreams) {
+        if (faultOf(upstream, now) > FaultyLevel) {
+            continue;
+        }
         const double taken = double(upstream.inFlight.size()) + foreignOf(upstream, now);
         total += std::max(0.0, double(upstream.entry.slots) - taken);
     }
@@ -270,10 +279,29 @@
     if (request.mustSucceed) {
         return cost + LastChanceFaultCost * fault;
     }
-    // A faulty upstream is tried from time to time, to see whether it has recovered.
+    return isTrialDue(upstream, fault, now) ? cost - FaultCost : cost + FaultCost * fault;
+}
+
+/// A faulty upstream is tried from time to time, to see whether it has recovered.
+bool UpstreamPool::isTrialDue(const Upstream &upstream, double fault, TimePoint now) const
+{
     const auto interval = fault < ConfirmLevel ? ConfirmInterval : TrialInterval;
-    const bool trial = fault > FaultyLevel && upstream.inFlight.empty() && now - upstream.lastTrial > interval;
-    return trial ? cost - FaultCost : cost + FaultCost * fault;
+    return fault > FaultyLevel && upstream.inFlight.empty() && now - upstream.lastTrial > interval;
+}
+
+bool UpstreamPool::isAcceptable(const Upstream &upstream, double fault, const Request &request, TimePoint now) const
+{
+    if (request.mustSucceed) {
+        return fault <= LastChanceFaultyLevel;
+    }
+    return fault <= FaultyLevel || isTrialDue(upstream, fault, now);
+}
+
+bool UpstreamPool::hasSound(TimePoint now) const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &it) {
+        return faultOf(it.second, now) <= LastChanceFaultyLevel;
+    });
 }
 
 void UpstreamPool::addEvidence(Upstream &upstream, double logOdds, TimePoint now)
--- a/tools/laburnumspar/commands.cpp
+++ b/tools/laburnumspar/commands.cpp
@@ -196,7 +196,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     Gateway gateway(std::move(settings), platform::makeEdge());
     gateway.run(read);
-    return ExitCode::Success;
+    // Nothing is left to be saved. The log library would wait for its thread, which may not run any more.
+    std::cout.flush();
+    std::quick_exit(static_cast<int>(ExitCode::Success));
 }
 
 ExitCode checkCommand(const Arguments &arguments)
