--- a/include/laburnumspar/retrybudget.h
+++ b/include/laburnumspar/retrybudget.h
@@ -17,6 +17,11 @@
     /// `share`: retries per first attempt, 0 or more. `reserve`: retries per window that need no attempts.
     explicit RetryBudget(double share, Milliseconds window = DefaultWindow, unsigned reserve = DefaultReserve);
 
+    /// Retries per window that need no attempts.
+    void setReserve(unsigned reserve)
+    {
+        m_reserve = reserve;
+    }
     /// Counts a first attempt.
     void noteAttempt(TimePoint now);
     /// Takes one retry out of the budget; false if it is spent.
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -12,7 +12,7 @@
 /// A second attempt starts when the first one runs longer than this share of its kind.
 constexpr double HedgeQuantile = 0.9;
 /// The same on an upstream that may well be faulty.
-constexpr double DoubtfulHedgeQuantile = 0.6;
+constexpr double DoubtfulHedgeQuantile = 0.75;
 constexpr double DoubtfulFault = 0.25;
 /// Time between tries to start a second attempt while no upstream has a free slot.
 constexpr Milliseconds HedgeRetry{60};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -140,9 +140,8 @@
             status.storeAgeMs = std::uint32_t(age);
         };
         hooks.statusHeard = [this](const InstanceStatus &it) { follower.notePeer(it, Clock::now()); };
-        hooks.observationHeard = [this](const UpstreamObservation &it) {
-            board.line(it.service).pool.hear(it.counts, Clock::now());
-        };
+        hooks.observationHeard
+            = [this](const UpstreamObservation &it) { board.line(it.service).pool.hear(it.counts, Clock::now()); };
         hooks.takeObservations = [this] { return takeObservations(); };
         hooks.roleChanged = [this](InstanceRole before, InstanceRole after) {
             const auto now = Clock::now();
@@ -319,6 +318,9 @@
         }
         const double seconds = processSeconds();
         const double used = 1000 * (seconds - lastProcessSeconds) / elapsed;
+        // The others get too few requests to need a reserve, but are so many that theirs would add up.
+        const bool active = group.self().role == InstanceRole::Active;
+        board.shareBudget(active ? std::optional(group.actives("", now).size()) : std::nullopt);
         load += LoadSmoothing * (used - load);
         lastProcessSeconds = seconds;
         lastLoadAt = now;
--- a/src/gateway/grouplink.cpp
+++ b/src/gateway/grouplink.cpp
@@ -157,7 +157,9 @@
             send(bytes, it.ip);
         }
     }
-    if (!actives.empty() && now - m_lastSeedGreeting < SeedInterval) {
+    const bool mayHaveLostOthers
+        = m_group.self().role == InstanceRole::Active && now - m_lastSeedGreeting >= SeedInterval;
+    if (!actives.empty() && !mayHaveLostOthers) {
         return;
     }
     m_lastSeedGreeting = now;
--- a/src/gateway/serviceboard.cpp
+++ b/src/gateway/serviceboard.cpp
@@ -8,17 +8,17 @@
 
 /// Leases of upstreams last this many heartbeats.
 constexpr int HeartbeatsPerLease = 3;
-/// Part of the fleet's second attempts that one instance may use. Their sum stays below the limit of the fleet while
-/// active instances come and go.
-constexpr double BudgetShare = 0.8;
-constexpr double ReserveShare = 0.1;
+/// Part of the fleet's second attempts that are used at all. The rest covers instances that start again and know
+/// nothing of what they have spent.
+constexpr double BudgetShare = 0.85;
+constexpr double ReserveShare = 0.5;
 /// The objective of a route is some times its usual execution time.
 constexpr int ObjectivePerMedian = 4;
 constexpr Milliseconds UnknownMedian{200};
 
-unsigned reserveOf(const FleetBounds &bounds)
+unsigned reserveOf(const FleetBounds &bounds, std::size_t instances)
 {
-    return unsigned(bounds.retryReserve * ReserveShare);
+    return unsigned(bounds.retryReserve * ReserveShare / double(std::max<std::size_t>(instances, 1)));
 }
 
 } // namespace
@@ -29,7 +29,7 @@
                          std::uint64_t seed)
     : name(std::move(serviceName))
     , pool(zone, seed)
-    , budget(bounds.retryShare * BudgetShare, bounds.retryWindow, reserveOf(bounds))
+    , budget(bounds.retryShare * BudgetShare, bounds.retryWindow, 0)
 {
 }
 
@@ -96,10 +96,19 @@
     auto &line = m_lines[service];
     if (!line) {
         line = std::make_unique<ServiceLine>(service, m_zone, m_bounds, ++m_seed);
+        line->budget.setReserve(m_reserve);
     }
     return *line;
 }
 
+void ServiceBoard::shareBudget(std::optional<std::size_t> instances)
+{
+    m_reserve = instances ? reserveOf(m_bounds, *instances) : 0;
+    for (auto &[service, line] : m_lines) {
+        line->budget.setReserve(m_reserve);
+    }
+}
+
 LatencyModel &ServiceBoard::latency(const Route &route)
 {
     auto &model = m_latencies[route.name];
--- a/src/gateway/serviceboard.h
+++ b/src/gateway/serviceboard.h
@@ -51,6 +51,8 @@
     {
         return m_lines;
     }
+    /// Divides the fleet's reserve of second attempts among the instances that carry traffic; empty: this one has none.
+    void shareBudget(std::optional<std::size_t> instances);
     LatencyModel &latency(const Route &route);
     /// Service for the next request of a route: the one that is furthest behind its weight.
     const std::string &nextService(const Route &route);
@@ -59,6 +61,7 @@
     std::string m_zone;
     FleetBounds m_bounds;
     std::uint64_t m_seed;
+    unsigned m_reserve = 0; ///< second attempts of each service in a window besides their share
     std::shared_ptr<const RouteTable> m_routes;
     UpstreamRegistry m_registry;
     std::map<std::string, std::unique_ptr<ServiceLine>> m_lines;
--- a/src/gateway/statedump.cpp
+++ b/src/gateway/statedump.cpp
@@ -28,8 +28,10 @@
     for (const auto &[service, line] : board.lines()) {
         json::array upstreams;
         for (const auto &it : line->pool.summaries(now)) {
-            upstreams.push_back(
-                {{"id", it.id}, {"in_flight", it.inFlight}, {"foreign", it.foreign}, {"fault_probability", it.faultProbability}});
+            upstreams.push_back({{"id", it.id},
+                                 {"in_flight", it.inFlight},
+                                 {"foreign", it.foreign},
+                                 {"fault_probability", it.faultProbability}});
         }
         services[service] = {{"waiting", line->waiting.size()}, {"upstreams", std::move(upstreams)}};
     }
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -49,13 +49,13 @@
 {
     // Two tasks, so that a call which the store does not answer holds up nothing that another instance knows.
     asio::co_spawn(
-        m_context, [this] { return followStore(); }, [](std::exception_ptr error) {
-            rethrowIfFatal(std::move(error), "store.follow-store");
-        });
+        m_context,
+        [this] { return followStore(); },
+        [](std::exception_ptr error) { rethrowIfFatal(std::move(error), "store.follow-store"); });
     asio::co_spawn(
-        m_context, [this] { return followPeers(); }, [](std::exception_ptr error) {
-            rethrowIfFatal(std::move(error), "store.follow-peers");
-        });
+        m_context,
+        [this] { return followPeers(); },
+        [](std::exception_ptr error) { rethrowIfFatal(std::move(error), "store.follow-peers"); });
 }
 
 void StoreFollower::wake()
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -29,14 +29,14 @@
 /// Time between the trials of a faulty upstream.
 constexpr Milliseconds TrialInterval{2000};
 /// After a first good trial.
-constexpr Milliseconds ConfirmInterval{300};
+constexpr Milliseconds ConfirmInterval{600};
 constexpr double ConfirmLevel = 0.9;
 /// An upstream that refuses work as full gets none for this time.
 constexpr Milliseconds FullPause{80};
 /// Reports of the load by other instances' work halve in this time.
 constexpr double ForeignHalfLifeSeconds = 0.5;
 /// Costs, in shares of an upstream's capacity.
-constexpr double RemoteCost = 0.35;
+constexpr double RemoteCost = 0.55;
 constexpr double FaultCost = 1.5;
 constexpr double LastChanceFaultCost = 10;
 constexpr double ColdCost = 0.6;
--- a/src/waitingline.cpp
+++ b/src/waitingline.cpp
@@ -58,8 +58,8 @@
 
 double WaitingLine::startRate(TimePoint now) const
 {
-    const auto inWindow = std::count_if(
-        m_starts.begin(), m_starts.end(), [now](TimePoint at) { return now - at <= RateWindow; });
+    const auto inWindow
+        = std::count_if(m_starts.begin(), m_starts.end(), [now](TimePoint at) { return now - at <= RateWindow; });
     return double(inWindow) / std::chrono::duration<double>(RateWindow).count();
 }
 
