log: to stdout, bounded in bytes and lines, without waiting for the reader

Logs went to stderr and a reader that fell behind held up the program. Lines are held in a bounded buffer, plain ones are dropped first and counted; the gateway writes them with each tick instead of one by one.

--- a/include/laburnumspar/log.h
+++ b/include/laburnumspar/log.h
@@ -73,8 +73,16 @@
     }
 };
 
-/// Sends the events to stderr, one a line. `format`: "json" or "keyvalue". Throws UsageError for unknown names.
-void configureLog(std::string_view level, std::string_view format);
+enum class LogFlush : std::uint8_t {
+    EachLine,
+    OnRequest, ///< by flushLog(), or when there is much to write
+};
+
+/// Sends the events to stdout, one a line, without ever waiting for a reader: lines that it does not take in time are
+/// dropped and counted. `format`: "json" or "keyvalue". Throws UsageError for unknown names.
+void configureLog(std::string_view level, std::string_view format, LogFlush flush = LogFlush::EachLine);
+/// Writes what has been held back, as far as the reader takes it.
+void flushLog();
 /// Throws UsageError for an unknown name.
 void setLogLevel(std::string_view level);
 void setLogLevel(LogLevel level);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -297,6 +297,7 @@
         measureLoad(now);
         link.tick(now);
         forwarder.tick(now);
+        flushLog();
         if (stopRequested && mayEnd(now)) {
             end();
             return;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,14 +1,18 @@
 #include "laburnumspar/log.h"
 
+#include "detail/logbuffer.h"
 #include "laburnumspar/errors.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -18,6 +22,7 @@
 #include <cstdio>
 #include <ctime>
 #include <memory>
+#include <mutex>
 
 namespace laburnumspar {
 
@@ -138,6 +143,84 @@
 std::atomic<LogLevel> currentLevel{LogLevel::Off};
 std::atomic<LogFormat> currentFormat{LogFormat::Json};
 
+std::atomic<LogFlush> currentFlush{LogFlush::EachLine};
+
+constexpr LogLevel levelOf(log4cplus::LogLevel level)
+{
+    return level >= log4cplus::ERROR_LOG_LEVEL ? LogLevel::Error
+        : level >= log4cplus::WARN_LOG_LEVEL   ? LogLevel::Warning
+                                               : LogLevel::Info;
+}
+
+/// Writes as much as a pipe takes at once; 0 if its reader has fallen behind.
+std::size_t writeWithoutWaiting(std::string_view bytes)
+{
+    // A pipe that is ready takes a write of this size whole.
+    constexpr std::size_t AtomicWrite = 4096;
+    pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0) {
+        return 0;
+    }
+    const auto n = ::write(STDOUT_FILENO, bytes.data(), std::min(bytes.size(), AtomicWrite));
+    return n > 0 ? std::size_t(n) : 0;
+}
+
+/// Holds lines in a bounded buffer between the program and a reader that may be slow.
+class BufferedAppender : public log4cplus::Appender
+{
+public:
+    ~BufferedAppender() override
+    {
+        destructorImpl();
+    }
+
+    void close() override
+    {
+        flush();
+        closed = true;
+    }
+
+    void flush()
+    {
+        std::lock_guard lock(m_mutex);
+        drain();
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        std::lock_guard lock(m_mutex);
+        const auto level = levelOf(event.getLogLevel());
+        m_buffer.add(event.getMessage(), level, Clock::now());
+        if (currentFlush == LogFlush::EachLine || level >= LogLevel::Warning || m_buffer.size() >= FlushSize) {
+            drain();
+        }
+    }
+
+private:
+    static constexpr std::size_t FlushSize = 16 << 10;
+
+    void drain()
+    {
+        m_buffer.drain(writeWithoutWaiting);
+        if (const auto dropped = m_buffer.size() == 0 ? m_buffer.takeDropped() : 0; dropped > 0) {
+            m_buffer.add(formatLogLine(currentFormat,
+                                       LogLevel::Warning,
+                                       std::chrono::system_clock::now(),
+                                       "log.dropped",
+                                       {{"lines", dropped}}),
+                         LogLevel::Warning,
+                         Clock::now());
+            m_buffer.drain(writeWithoutWaiting);
+        }
+    }
+
+    std::mutex m_mutex;
+    detail::LogBuffer m_buffer{{}};
+};
+
+BufferedAppender *appenderInUse = nullptr;
+
 log4cplus::Logger &logger()
 {
     static log4cplus::Initializer initializer;
@@ -145,9 +228,9 @@
         // The pool serves asynchronous appenders, which are not used; its default is four threads.
         log4cplus::setThreadPoolSize(1);
         auto made = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("laburnumspar"));
-        log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-        appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
-        made.addAppender(appender);
+        // The logger owns the appender.
+        appenderInUse = new BufferedAppender;
+        made.addAppender(log4cplus::SharedAppenderPtr(appenderInUse));
         made.setAdditivity(false);
         made.setLogLevel(log4cplus::ALL_LOG_LEVEL);
         return made;
@@ -167,7 +250,7 @@
 
 } // namespace
 
-void configureLog(std::string_view level, std::string_view format)
+void configureLog(std::string_view level, std::string_view format, LogFlush flush)
 {
     const auto parsedFormat = fromName<LogFormat>(format);
     if (!parsedFormat) {
@@ -176,9 +259,17 @@
     const auto parsedLevel = levelNamed(level);
     logger();
     currentFormat = *parsedFormat;
+    currentFlush = flush;
     currentLevel = parsedLevel;
 }
 
+void flushLog()
+{
+    if (appenderInUse != nullptr) {
+        appenderInUse->flush();
+    }
+}
+
 void setLogLevel(std::string_view level)
 {
     setLogLevel(levelNamed(level));
--- a/tests/test_log.cpp
+++ b/tests/test_log.cpp
@@ -4,9 +4,11 @@
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <iostream>
+#include <cstdio>
 #include <limits>
-#include <sstream>
+#include <string>
+
+#include <unistd.h>
 
 using namespace laburnumspar;
 
@@ -14,6 +16,38 @@
 
 const std::chrono::system_clock::time_point Time{std::chrono::milliseconds(1500)};
 
+/// Sends the standard output to a file while it lives.
+class CapturedOutput
+{
+public:
+    CapturedOutput()
+        : m_file(std::tmpfile())
+        , m_previous(::dup(STDOUT_FILENO))
+    {
+        ::dup2(::fileno(m_file), STDOUT_FILENO);
+    }
+    ~CapturedOutput()
+    {
+        ::dup2(m_previous, STDOUT_FILENO);
+        ::close(m_previous);
+        std::fclose(m_file);
+    }
+    CapturedOutput(const CapturedOutput &) = delete;
+    CapturedOutput &operator=(const CapturedOutput &) = delete;
+
+    std::string text()
+    {
+        std::string result(1 << 16, '\0');
+        const auto n = ::pread(::fileno(m_file), result.data(), result.size(), 0);
+        result.resize(n > 0 ? std::size_t(n) : 0);
+        return result;
+    }
+
+private:
+    std::FILE *m_file;
+    int m_previous;
+};
+
 } // namespace
 
 // Guards against text from outside that breaks out of its field or its line, and against invalid UTF-8 in JSON.
@@ -60,8 +94,7 @@
 // Guards against events below the level, and against a reload with a wrong name that changes the level.
 BOOST_AUTO_TEST_CASE(levelDecidesWhatIsWritten)
 {
-    std::ostringstream captured;
-    auto *previous = std::cerr.rdbuf(captured.rdbuf());
+    CapturedOutput captured;
     configureLog("warning", "keyvalue");
     logEvent(LogLevel::Info, "hidden");
     logEvent(LogLevel::Error, "shown", {{"n", 1}});
@@ -70,8 +103,19 @@
     logEvent(LogLevel::Info, "hidden");
     setLogLevel("off");
     logEvent(LogLevel::Error, "hidden");
-    std::cerr.rdbuf(previous);
-    const auto text = captured.str();
+    const auto text = captured.text();
     BOOST_TEST(text.find("hidden") == std::string::npos);
     BOOST_TEST(text.find("level=error event=shown n=1\n") != std::string::npos);
 }
+
+// Guards against lines that are written one by one where that costs too much, and lost where they are held back.
+BOOST_AUTO_TEST_CASE(linesAreHeldBackUntilAskedFor)
+{
+    CapturedOutput captured;
+    configureLog("info", "keyvalue", LogFlush::OnRequest);
+    logEvent(LogLevel::Info, "held");
+    BOOST_TEST(captured.text().find("held") == std::string::npos);
+    flushLog();
+    BOOST_TEST(captured.text().find("held") != std::string::npos);
+    setLogLevel("off");
+}
--- a/tools/laburnumspar/commands.cpp
+++ b/tools/laburnumspar/commands.cpp
@@ -192,12 +192,12 @@
         return settings;
     };
     auto settings = read();
-    configureLog(settings.logLevel, "json");
+    configureLog(settings.logLevel, "json", LogFlush::OnRequest);
     std::signal(SIGPIPE, SIG_IGN);
     Gateway gateway(std::move(settings), platform::makeEdge());
     gateway.run(read);
+    flushLog();
     // Nothing is left to be saved. The log library would wait for its thread, which may not run any more.
-    std::cout.flush();
     std::quick_exit(static_cast<int>(ExitCode::Success));
 }
 
