fault soak: a fleet of real processes under random faults

lspar-soak runs laburnumspar serve as separate processes beside stand-ins for the store, the upstreams and the callers, all on loopback, and harms them from outside by proxies and signals.

--- /dev/null
+++ b/tools/lspar-soak/storestandin.cpp
@@ -0,0 +1,126 @@
+#include "storestandin.h"
+
+#include "platform/names.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace laburnumspar::soak {
+
+namespace json = boost::json;
+namespace names = platform::names;
+
+namespace {
+
+constexpr Milliseconds WatchStep{20};
+
+std::string base64Of(const std::string &text)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string encoded(base64::encoded_size(text.size()), '\0');
+    encoded.resize(base64::encode(encoded.data(), text.data(), text.size()));
+    return encoded;
+}
+
+std::string parameter(const std::string &target, const std::string &name)
+{
+    const auto at = target.find(name + '=');
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::uint64_t numberParameter(const std::string &target, const std::string &name)
+{
+    const auto text = parameter(target, name);
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(boost::asio::io_context &context, const Endpoint &endpoint)
+    : m_server(context, endpoint, {}, [this](detail::HttpRequest request, detail::CancellationPtr) {
+        return answer(std::move(request));
+    })
+{
+    m_server.start();
+}
+
+void StoreStandIn::put(const std::string &key, const std::string &value)
+{
+    m_items[key] = {value, ++m_revision, false};
+}
+
+void StoreStandIn::remove(const std::string &key)
+{
+    m_items[key] = {{}, ++m_revision, true};
+}
+
+void StoreStandIn::forgetHistory()
+{
+    m_historyFrom = m_revision;
+}
+
+std::string StoreStandIn::list(const std::string &prefix) const
+{
+    json::array items;
+    for (const auto &[key, item] : m_items) {
+        if (!item.removed && key.starts_with(prefix)) {
+            items.push_back({{"key", key}, {"value", base64Of(item.value)}, {"rev", item.revision}});
+        }
+    }
+    return json::serialize(json::object{{"items", std::move(items)}, {"truncated", false}, {"as_of", m_revision}});
+}
+
+bool StoreStandIn::hasChanges(const std::string &prefix, std::uint64_t after) const
+{
+    return std::any_of(m_items.begin(), m_items.end(), [&](const auto &it) {
+        return it.second.revision > after && it.first.starts_with(prefix);
+    });
+}
+
+std::string StoreStandIn::changes(const std::string &prefix, std::uint64_t after) const
+{
+    json::array events;
+    for (const auto &[key, item] : m_items) {
+        if (item.revision <= after || !key.starts_with(prefix)) {
+            continue;
+        }
+        json::object event{{"key", key}, {"rev", item.revision}};
+        if (item.removed) {
+            event["deleted"] = true;
+        } else {
+            event["value"] = base64Of(item.value);
+        }
+        events.push_back(std::move(event));
+    }
+    return json::serialize(json::object{{"events", std::move(events)}, {"as_of", m_revision}});
+}
+
+detail::awaitable<detail::HttpResponse> StoreStandIn::answer(detail::HttpRequest request)
+{
+    using detail::http::status;
+    const std::string target(request.target());
+    const auto prefix = parameter(target, "prefix");
+    if (target.starts_with(names::RangeTarget)) {
+        co_return detail::makeResponse(status::ok, "application/json", list(prefix));
+    }
+    if (!target.starts_with(names::WatchTarget)) {
+        co_return detail::makeResponse(status::not_found, "text/plain", "");
+    }
+    const auto after = numberParameter(target, "after");
+    if (after < m_historyFrom) {
+        co_return detail::makeResponse(status::gone, "text/plain", "");
+    }
+    const auto until = Clock::now() + Milliseconds(numberParameter(target, "wait_ms"));
+    while (!hasChanges(prefix, after) && Clock::now() < until) {
+        co_await detail::sleepFor(WatchStep);
+    }
+    co_return detail::makeResponse(status::ok, "application/json", changes(prefix, after));
+}
+
+} // namespace laburnumspar::soak
