upstream pool: recovered upstreams are tried sooner, and repeatable work goes round

Causes: work lost earlier spoke against an upstream until it timed out, up to eight seconds after it had recovered; trials every 2 s; cold and remote upstreams got nothing at low load. Addresses are valid for 1.0 s instead of 1.5 s, and after three lifetimes requests are refused as not run.

--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -106,6 +106,7 @@
         AttemptId id = 0;
         TimePoint started;
         const LatencyModel *latency = nullptr;
+        bool outdated = false; ///< a later one has succeeded: its silence says nothing of the present
     };
 
     struct Upstream {
@@ -140,6 +141,7 @@
     std::mt19937_64 m_random;
     AttemptId m_nextAttempt = 1;
     double m_trialCredit = 0;
+    double m_faultShare = 0; ///< mean probability of a fault
     double m_prior; ///< share of faulty upstreams
     TimePoint m_priorAt;
     std::map<std::string, Upstream> m_upstreams;
--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -30,6 +30,7 @@
     const ForwardingHeaders &headers;
     std::set<Session *> sessions;
     bool closing = false;
+    bool refusing = false;
 
     CallerLimits limits() const
     {
@@ -176,6 +177,10 @@
         auto message = m_parser->release();
         m_keepAlive = message.keep_alive();
         m_headOnly = message.method() == http::verb::head;
+        if (m_state->refusing) {
+            refuseLeaving(message);
+            return;
+        }
         m_forwarding = m_state->forwarder.forward(makeForwarded(std::move(message), m_state->headers, Clock::now()),
                                                   [weak = weak_from_this()](CallerAnswer answer) {
                                                       if (const auto self = weak.lock();
@@ -235,6 +240,15 @@
         });
     }
 
+    void refuseLeaving(const CallerMessage &message)
+    {
+        constexpr Milliseconds RetryAfter{100};
+        const auto id = message[m_state->headers.requestId];
+        const std::string_view request(id.data(), id.size());
+        logEvent(LogLevel::Info, "request.refused", {{"request", request}, {"status", 503}, {"reason", "leaving"}});
+        write(ownAnswer(http::status::service_unavailable, "leaving", request, m_state->headers, RetryAfter), true);
+    }
+
     void refuse(http::status status, std::string_view detail)
     {
         if (m_phase != Phase::Reading) {
@@ -294,7 +308,7 @@
                            Forwarder &forwarder,
                            const ServiceBoard &board,
                            const ForwardingHeaders &headers)
-    : m_state(std::make_shared<State>(State{context, forwarder, board, headers, {}, false}))
+    : m_state(std::make_shared<State>(State{context, forwarder, board, headers, {}, false, false}))
     , m_listener(context, endpoint, [state = m_state](tcp::socket socket) {
         if (state->sessions.size() < MaxConnections) {
             std::make_shared<Session>(state, std::move(socket))->waitForRequest();
@@ -317,6 +331,11 @@
     m_state->closing = true;
 }
 
+void CallerServer::refuseRequests()
+{
+    m_state->refusing = true;
+}
+
 void CallerServer::close()
 {
     m_state->closing = true;
--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -25,6 +25,8 @@
     void start();
     /// From now on each answer asks the caller to close its connection.
     void startClosing();
+    /// From now on requests are refused as not run; those that have been read are answered.
+    void refuseRequests();
     /// Stops accepting and closes connections that carry no request.
     void close();
     std::size_t connections() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,7 +23,7 @@
 constexpr Milliseconds StandbyTickInterval{200};
 /// Callers use an answer about addresses for this long, and some of them three times as long. A planned stop has to
 /// outlast that.
-constexpr Milliseconds AddressLifetime{1500};
+constexpr Milliseconds AddressLifetime{1000};
 constexpr int MostLifetimes = 3;
 /// Time before the end of the grace time at which the process ends by itself.
 constexpr Milliseconds StopMargin{600};
@@ -299,6 +299,10 @@
         link.tick(now);
         forwarder.tick(now);
         flushLog();
+        if (stopRequested && now - *stopRequested >= MostLifetimes * AddressLifetime) {
+            // A request that comes so late might not be answered before the process has to end.
+            callers.refuseRequests();
+        }
         if (stopRequested && mayEnd(now)) {
             end();
             return;
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -27,9 +27,12 @@
 /// A refused connection speaks against an upstream more than a failed request.
 constexpr double UnreachableEvidence = 4.5;
 /// Time between the trials of a faulty upstream.
-constexpr Milliseconds TrialInterval{2000};
-/// Trials for each request, however many upstreams are faulty: each of them may cost a second attempt.
-constexpr double TrialShare = 0.05;
+constexpr Milliseconds TrialInterval{1200};
+/// Trials for each request: each of them may cost a second attempt. More when most upstreams seem to be faulty, since
+/// those that have recovered are needed then.
+constexpr double LeastTrialShare = 0.08;
+constexpr double UsualFaultShare = 0.35;
+constexpr double TrialShareGrowth = 0.25;
 constexpr double MostTrialCredit = 3;
 /// After a first good trial.
 constexpr Milliseconds ConfirmInterval{600};
@@ -42,7 +45,11 @@
 constexpr double RemoteCost = 0.55;
 constexpr double FaultCost = 1.5;
 constexpr double LastChanceFaultCost = 10;
-constexpr double ColdCost = 0.6;
+constexpr double MostIdle = 2; ///< seconds
+constexpr double IdleBonus = 0.3;
+constexpr double MostTrialWait = 10; ///< seconds
+constexpr double TrialWaitCost = 0.2;
+constexpr double ColdCost = 0.3;
 constexpr double RandomCost = 0.1;
 constexpr double SlownessShare = 0.2;
 constexpr double MostSlowness = 10;
@@ -117,7 +124,8 @@
     double bestFault = 0;
     updatePrior(now);
     const bool onlyFaulty = !hasSound(now);
-    m_trialCredit = std::min(m_trialCredit + TrialShare, MostTrialCredit);
+    const double trialShare = LeastTrialShare + TrialShareGrowth * std::max(0.0, m_faultShare - UsualFaultShare);
+    m_trialCredit = std::min(m_trialCredit + trialShare, MostTrialCredit);
     for (auto &[id, upstream] : m_upstreams) {
         if (!hasRoom(upstream, now)
             || std::find(request.exclude.begin(), request.exclude.end(), id) != request.exclude.end()) {
@@ -163,12 +171,18 @@
     switch (end) {
     case AttemptEnd::Success:
         addEvidence(upstream, SuccessEvidence, now);
+        for (auto &other : upstream.inFlight) {
+            other.outdated = other.outdated || other.started < attempt.started;
+        }
         ++upstream.unpublished.successes;
         upstream.silencePublished = false;
         learnTime(upstream, attempt, now);
         break;
     case AttemptEnd::Failure:
     case AttemptEnd::Silence:
+        if (attempt.outdated) {
+            break;
+        }
         addEvidence(upstream, FailureEvidence, now);
         ++upstream.unpublished.failures;
         break;
@@ -179,7 +193,7 @@
         upstream.fullUntil = now + FullPause;
         break;
     case AttemptEnd::Abandoned:
-        addEvidence(upstream, silenceEvidence(longer), now);
+        addEvidence(upstream, attempt.outdated ? 0 : silenceEvidence(longer), now);
         break;
     case AttemptEnd::Refused:
         break;
@@ -259,6 +273,9 @@
 {
     double evidence = 0;
     for (const auto &attempt : upstream.inFlight) {
+        if (attempt.outdated) {
+            continue;
+        }
         evidence += silenceEvidence(attempt.latency->shareLongerThan(now - attempt.started));
     }
     return withEvidence(faultOf(upstream, now), evidence);
@@ -286,7 +303,14 @@
     if (request.mustSucceed) {
         return cost + LastChanceFaultCost * fault;
     }
-    return isTrialDue(upstream, fault, request, now) ? cost - FaultCost : cost + FaultCost * fault;
+    if (!isTrialDue(upstream, fault, request, now)) {
+        // Work that can be repeated goes round, so that no sound upstream is left without any.
+        const double idle = std::min(seconds(now - upstream.lastTrial), MostIdle);
+        return cost + FaultCost * fault - idle * IdleBonus;
+    }
+    // The one that has waited longest goes first.
+    const double waited = std::min(seconds(now - upstream.lastTrial), MostTrialWait);
+    return cost - FaultCost - waited * TrialWaitCost;
 }
 
 /// An upstream that is new is tried at once, and a faulty one from time to time, to see whether it has recovered.
@@ -299,7 +323,7 @@
         return false;
     }
     const auto interval = fault < ConfirmLevel ? ConfirmInterval : TrialInterval;
-    return fault > FaultyLevel && upstream.inFlight.empty() && now - upstream.lastTrial > interval;
+    return fault > FaultyLevel && now - upstream.lastTrial > interval;
 }
 
 bool UpstreamPool::isAcceptable(const Upstream &upstream, double fault, const Request &request, TimePoint now) const
@@ -332,7 +356,8 @@
     for (const auto &[id, upstream] : m_upstreams) {
         sum += faultOf(upstream, now);
     }
-    m_prior = std::clamp(sum / double(m_upstreams.size()), LeastPrior, MostPrior);
+    m_faultShare = sum / double(m_upstreams.size());
+    m_prior = std::clamp(m_faultShare, LeastPrior, MostPrior);
     m_priorAt = now;
 }
 
