--- /dev/null
+++ b/fuzz/fuzz_platformedge.cpp
@@ -0,0 +1,56 @@
+#include "fuzz.h"
+
+#include "laburnumspar/errors.h"
+#include "platform/edge.h"
+#include "platform/settingsfile.h"
+
+#include <string>
+
+using namespace laburnumspar;
+
+namespace {
+
+const PlatformEdge edge = platform::makeEdge();
+
+const std::string configText
+    = R"({"version":"r12","routes":{"columns":["name","host","prefix","kind","timeout_s","slo_s",
+"priority","service","attempts"],"rows":[["pay","a.example","/pay/","unsafe",5,1.2,1,"s1",2]]},"services":{"columns":
+["name","health_path","max_conns"],"rows":[["s1","/healthz",360]]},"limits":{"idle_timeout_s":1.5}})";
+const std::string serverText
+    = R"({"service":"s1","addr":"10.128.0.9:8080","zone":"palermo","slots":6,"state":"ready","warmup_left_s":1.5})";
+const std::string pageText
+    = R"({"events":[{"key":"a","value":"bm9kZS0x","rev":4},{"key":"b","rev":5,"deleted":true}],"as_of":9})";
+
+std::vector<std::uint8_t> bytesOf(const std::string &text)
+{
+    return {text.begin(), text.end()};
+}
+
+// Anything but an exception of the library would end the process.
+template <typename Decode>
+void decodeAny(Decode decode)
+{
+    try {
+        decode();
+    } catch (const Error &) {
+    }
+}
+
+} // namespace
+
+std::vector<std::vector<std::uint8_t>> fuzzCorpus()
+{
+    return {bytesOf(configText), bytesOf(serverText), bytesOf(pageText), bytesOf("/-/resolve?zone=palermo&name=x")};
+}
+
+bool fuzzOne(const std::vector<std::uint8_t> &buf)
+{
+    const std::string text(buf.begin(), buf.end());
+    decodeAny([&] { edge.decodeItem({"op/config", text, 1, false}); });
+    decodeAny([&] { edge.decodeItem({"servers/i-1", text, 1, false}); });
+    decodeAny([&] { edge.decodeChanges(text); });
+    decodeAny([&] { edge.decodePage(text); });
+    decodeAny([&] { edge.decodeAddressQuestion(text); });
+    decodeAny([&] { platform::parseSettings(text, "fuzz"); });
+    return true;
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,3 +14,7 @@
 fi
 tests/fleet/run.sh
 scripts/soak.sh 1 20
+# Seeds of the fault soak that ever failed, then one more.
+for seed in $(cut -d' ' -f1 tests/soakseeds.txt) 1; do
+    scripts/faultsoak.sh "$seed" "$seed" 15 1
+done
