store follower: pass on the news of the store, so that instances elsewhere see no outage

Instances whose active neighbour does not read the store itself heard of no answer of the store for seconds, took that for an outage, and held the removal of an upstream that left; one that took over from there would have sent it work for more than two seconds. Beats carry the age of the newest answer that any instance had. Removals of entries that were never known are no news. Ruled out: the store's own outage (39 of 40 instances kept reading or pulling). The test cutOfOneInstanceHoldsNoLeases passes on such second-hand news now.

--- a/include/laburnumspar/instancegroup.h
+++ b/include/laburnumspar/instancegroup.h
@@ -32,7 +32,8 @@
     std::uint16_t capacity = 0; ///< processor time that it may use, in thousandths of a core
     std::uint16_t load = 0; ///< processor time in use, in thousandths of a core
     std::uint64_t storeRevision = 0; ///< newest change that it knows
-    std::uint32_t storeAgeMs = 0; ///< time since it last heard from the store
+    std::uint32_t storeAgeMs = 0; ///< time since the store last answered it
+    std::uint32_t newsAgeMs = 0; ///< time since the store last answered any instance, as far as it knows
     std::uint32_t storeDigest = 0; ///< equal where two instances know the same
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -138,6 +138,7 @@
             status.load = std::uint16_t(std::min(load, 60'000.0));
             status.storeRevision = follower.mirror().newestChange();
             status.storeAgeMs = std::uint32_t(age);
+            status.newsAgeMs = std::uint32_t(follower.newsAge(Clock::now()).count());
             status.storeDigest = follower.mirror().digest();
         };
         hooks.statusHeard = [this](const InstanceStatus &it) { follower.notePeer(it, Clock::now()); };
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -96,7 +96,11 @@
     return written([&](OutputArchive &ar) {
         ar(BeatMagic);
         saveIdentity(ar, beat.sender, zones);
-        ar(beat.sender.load, beat.sender.storeRevision, beat.sender.storeAgeMs, beat.sender.storeDigest);
+        ar(beat.sender.load,
+           beat.sender.storeRevision,
+           beat.sender.storeAgeMs,
+           beat.sender.newsAgeMs,
+           beat.sender.storeDigest);
         ar(std::uint8_t(beat.answerWanted));
         const auto heard = std::min(beat.heard.size(), MaxHeardInstances);
         saveLength(ar, heard, MaxHeardInstances);
@@ -121,7 +125,11 @@
     GroupBeat beat;
     readFrom(bytes, BeatMagic, [&](InputArchive &ar) {
         loadIdentity(ar, beat.sender, zones);
-        ar(beat.sender.load, beat.sender.storeRevision, beat.sender.storeAgeMs, beat.sender.storeDigest);
+        ar(beat.sender.load,
+           beat.sender.storeRevision,
+           beat.sender.storeAgeMs,
+           beat.sender.newsAgeMs,
+           beat.sender.storeDigest);
         Flag answerWanted{beat.answerWanted};
         ar(answerWanted);
         beat.heard.resize(loadLength(ar, MaxHeardInstances));
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -27,6 +27,12 @@
 constexpr Milliseconds PeerPatience{100};
 constexpr Milliseconds FleetStartPatience{3500};
 
+Milliseconds ageOf(const std::optional<TimePoint> &at, TimePoint now)
+{
+    constexpr Milliseconds Never{3'600'000};
+    return at ? std::chrono::duration_cast<Milliseconds>(now - *at) : Never;
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(asio::io_context &context,
@@ -68,7 +74,7 @@
 
 void StoreFollower::notePeer(const InstanceStatus &status, TimePoint now)
 {
-    noteNews(now - Milliseconds(status.storeAgeMs));
+    noteNews(now - Milliseconds(status.newsAgeMs));
     if (status.storeRevision > m_mirror.newestChange()) {
         m_peerPause.cancel();
     }
@@ -87,8 +93,12 @@
 
 Milliseconds StoreFollower::age(TimePoint now) const
 {
-    constexpr Milliseconds Never{3'600'000};
-    return m_lastAnswer ? std::chrono::duration_cast<Milliseconds>(now - *m_lastAnswer) : Never;
+    return ageOf(m_lastAnswer, now);
+}
+
+Milliseconds StoreFollower::newsAge(TimePoint now) const
+{
+    return ageOf(m_lastNews, now);
 }
 
 awaitable<void> StoreFollower::followStore()
@@ -338,7 +348,10 @@
         return;
     }
     if (item.removed) {
-        applyRemoval(item, now);
+        // What was never known here is no news, unless another instance keeps it.
+        if (known != nullptr || fromPeer) {
+            applyRemoval(item, now);
+        }
         return;
     }
     const bool changed = applyMeaning(item, now);
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -41,6 +41,8 @@
     }
     /// Time since the store last answered this instance.
     Milliseconds age(TimePoint now) const;
+    /// Time since the store last answered any instance, as far as this one knows.
+    Milliseconds newsAge(TimePoint now) const;
     std::uint64_t storeCalls() const
     {
         return m_storeCalls;
--- a/src/instancegroup.cpp
+++ b/src/instancegroup.cpp
@@ -84,6 +84,7 @@
         if (known.incarnation == status.incarnation) {
             member.status.storeRevision = known.storeRevision;
             member.status.storeAgeMs = known.storeAgeMs;
+            member.status.newsAgeMs = known.newsAgeMs;
             member.status.storeDigest = known.storeDigest;
             member.status.load = known.load;
         }
