instance group: others stand in when the store turns the active instances away

When no instance has had news of the store for 1.2 s, spares and standby instances read it too, one after the other, and tell the rest. Ruled out: pulls between instances (there was nothing to pull).

--- a/include/laburnumspar/instancegroup.h
+++ b/include/laburnumspar/instancegroup.h
@@ -80,8 +80,9 @@
     Milliseconds ageOf(const std::string &ip, TimePoint now) const;
     /// Addresses for callers in a zone, by preference: active ones there, spares there, active ones elsewhere.
     std::vector<std::string> addressesFor(const std::string &zone, TimePoint now) const;
-    /// Active instance that reads the store for all: the first by rank that has read it lately.
-    bool readsStore(TimePoint now) const;
+    /// Whether this instance reads the store for all: the first active one by rank that has read it lately. Others
+    /// stand in when no instance has had news of the store for a while, since it may turn away just the active ones.
+    bool readsStore(Milliseconds newsAge, TimePoint now) const;
 
     /// Number of active instances that the own zone needs.
     std::size_t activesWanted(TimePoint now) const;
--- a/src/gateway/grouplink.cpp
+++ b/src/gateway/grouplink.cpp
@@ -13,6 +13,7 @@
 constexpr Milliseconds BeatInterval{300};
 constexpr Milliseconds GreetingInterval{1500};
 constexpr Milliseconds ShareInterval{200};
+constexpr Milliseconds RecentRead{1000};
 /// Until an active instance is heard.
 constexpr Milliseconds SearchInterval{250};
 /// Active instances ask the seeds again, so that parts of the fleet that lost each other meet.
@@ -185,8 +186,11 @@
         m_hooks.roleChanged(before, role);
         beatToGroup(now);
     }
-    const bool carriesTraffic = role == InstanceRole::Active || role == InstanceRole::Leaving;
-    if (carriesTraffic && now - m_lastBeat >= BeatInterval) {
+    m_hooks.fillStatus(m_group.self());
+    // An instance that reads the store for the others tells them, whatever its role.
+    const bool tells = role == InstanceRole::Active || role == InstanceRole::Leaving
+        || Milliseconds(m_group.self().storeAgeMs) < RecentRead;
+    if (tells && now - m_lastBeat >= BeatInterval) {
         beatToGroup(now);
     }
     if (now - m_lastShare >= ShareInterval) {
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -20,6 +20,8 @@
 constexpr Milliseconds DifferencePatience{1200};
 constexpr Milliseconds PeerFreshness{700};
 constexpr Milliseconds FailurePause{250};
+/// Instances that stand in are many, and each call is priced.
+constexpr Milliseconds StandInPause{1000};
 /// Pause between looks at what there is to do; beats of other instances end it.
 constexpr Milliseconds IdlePause{300};
 /// Time after the start in which other instances are expected to tell what they have read. When the whole fleet starts
@@ -110,9 +112,10 @@
         const auto now = Clock::now();
         expire(now);
         pause = IdlePause;
-        if (m_group.readsStore(now) || mustReadAlone(now)) {
+        if (m_group.readsStore(newsAge(now), now) || mustReadAlone(now)) {
             co_await readStore();
-            pause = m_failedSince ? FailurePause : ReadPause;
+            const bool active = m_group.self().role == InstanceRole::Active;
+            pause = !m_failedSince ? ReadPause : active ? FailurePause : StandInPause;
         }
     }
 }
--- a/src/instancegroup.cpp
+++ b/src/instancegroup.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t SparesWanted = 1;
 /// A reader of the store whose knowledge is older is backed up by the next one.
 constexpr Milliseconds FreshStoreAge{1500};
+/// Age of the news of the store at which instances that are not active begin to read it, one after the other.
+constexpr Milliseconds NewsPatience{1200};
+constexpr Milliseconds StandInDelay{100};
 
 std::uint64_t rankHash(const std::string &ip)
 {
@@ -216,8 +219,13 @@
     return result;
 }
 
-bool InstanceGroup::readsStore(TimePoint now) const
+bool InstanceGroup::readsStore(Milliseconds newsAge, TimePoint now) const
 {
+    if (m_self.role != InstanceRole::Active) {
+        const auto position
+            = positionOf(ranked(m_self.zone, now), m_self.ip, [](const InstanceStatus &) { return true; });
+        return m_self.role != InstanceRole::Leaving && newsAge > NewsPatience + int(position) * StandInDelay;
+    }
     for (const auto &it : actives("", now)) {
         if (it.ip == m_self.ip) {
             return true;
@@ -226,7 +234,7 @@
             return false;
         }
     }
-    return m_self.role == InstanceRole::Active;
+    return true;
 }
 
 std::size_t InstanceGroup::activesWanted(TimePoint now) const
--- a/tests/test_instancegroup.cpp
+++ b/tests/test_instancegroup.cpp
@@ -181,7 +181,7 @@
     const auto readers = [&] {
         std::vector<InstanceGroup *> result;
         for (auto *it : fleet.withRole(InstanceRole::Active)) {
-            if (it->readsStore(fleet.now)) {
+            if (it->readsStore(0ms, fleet.now)) {
                 result.push_back(it);
             }
         }
@@ -218,3 +218,21 @@
     fleet.run(6s);
     BOOST_TEST(fleet.instances[0]->addressesFor("nowhere", fleet.now).size() == 1U);
 }
+
+// Guards against a store that turns away just the active instances: nobody would hear of a change. Hunt 38d9 broke
+// CONFIG and DENIED in this way.
+BOOST_AUTO_TEST_CASE(othersStandInWhenThereIsNoNewsOfTheStore)
+{
+    Fleet fleet(8);
+    fleet.run(6s);
+    const auto standIns = [&](Milliseconds newsAge) {
+        return std::count_if(fleet.instances.begin(), fleet.instances.end(), [&](const auto &it) {
+            return it->self().role != InstanceRole::Active && it->readsStore(newsAge, fleet.now);
+        });
+    };
+    BOOST_TEST(standIns(900ms) == 0);
+    const auto first = standIns(1450ms);
+    BOOST_TEST(first > 0);
+    BOOST_TEST(first < 7);
+    BOOST_TEST(standIns(3000ms) == 7);
+}
