--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -65,8 +65,8 @@
     return std::clamp(odds / (1 + odds), LeastFault, MostFault);
 }
 
-const double SuccessEvidence = std::log((1 - FaultyFailureShare) / (1 - SoundFailureShare));
-const double FailureEvidence = std::log(FaultyFailureShare / SoundFailureShare);
+const double successEvidence = std::log((1 - FaultyFailureShare) / (1 - SoundFailureShare));
+const double failureEvidence = std::log(FaultyFailureShare / SoundFailureShare);
 
 /// Evidence of an attempt that has not ended: a sound upstream is silent for this time as often as `longer` says, a
 /// faulty one also when it fails the work.
@@ -170,7 +170,7 @@
     upstream.inFlight.erase(it);
     switch (end) {
     case AttemptEnd::Success:
-        addEvidence(upstream, SuccessEvidence, now);
+        addEvidence(upstream, successEvidence, now);
         for (auto &other : upstream.inFlight) {
             other.outdated = other.outdated || other.started < attempt.started;
         }
@@ -183,7 +183,7 @@
         if (attempt.outdated) {
             break;
         }
-        addEvidence(upstream, FailureEvidence, now);
+        addEvidence(upstream, failureEvidence, now);
         ++upstream.unpublished.failures;
         break;
     case AttemptEnd::Unreachable:
@@ -210,7 +210,7 @@
         return;
     }
     const double evidence
-        = double(observation.successes) * SuccessEvidence + double(observation.failures) * FailureEvidence;
+        = double(observation.successes) * successEvidence + double(observation.failures) * failureEvidence;
     addEvidence(it->second, RemoteWeight * evidence, now);
     it->second.lastTrial = now;
 }
