lspar-load: a bounded number of connections, reused

Cause: each request without an idle connection opened one, so that at the peak of orders/morning-crest, when answers take long, the load tool ran out of file descriptors and gave no figure.

Each caller now has its share of the descriptors; at the limit it closes an idle connection to another address or waits for one that is given back. The time is counted from when the request was due, as before.

--- a/tools/lspar-load/connections.cpp
+++ b/tools/lspar-load/connections.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
+
 namespace laburnumspar::tools {
 
 namespace asio = boost::asio;
@@ -21,12 +23,30 @@
 
 } // namespace
 
-Connections::Connections(asio::any_io_executor executor)
+void Connections::Closer::operator()(Stream *stream) const
+{
+    delete stream;
+    --owner->m_count;
+    owner->wakeOne();
+}
+
+Connections::Connections(asio::any_io_executor executor, std::size_t limit)
     : m_executor(std::move(executor))
+    , m_limit(std::max<std::size_t>(limit, 1))
+{
+}
+
+void Connections::wakeOne()
 {
+    if (!m_waiting.empty()) {
+        auto &waiter = *m_waiting.front();
+        m_waiting.pop_front();
+        waiter.woken = true;
+        waiter.timer.cancel();
+    }
 }
 
-std::unique_ptr<Connections::Stream> Connections::takeIdle(const Endpoint &address)
+Connections::StreamPtr Connections::takeIdle(const Endpoint &address)
 {
     auto &idle = m_idle[address];
     while (!idle.empty()) {
@@ -36,31 +56,63 @@
             return stream;
         }
     }
-    return nullptr;
+    return {};
 }
 
-asio::awaitable<std::unique_ptr<Connections::Stream>> Connections::open(Endpoint address, TimePoint limit)
+bool Connections::closeIdle()
 {
-    auto stream = takeIdle(address);
-    if (stream) {
-        stream->expires_at(limit);
-        co_return stream;
+    for (auto &[address, idle] : m_idle) {
+        if (!idle.empty()) {
+            // Taken out first: closing it wakes a request that may look at the idle ones.
+            const auto stream = std::move(idle.back());
+            idle.pop_back();
+            return true;
+        }
     }
-    stream = std::make_unique<Stream>(m_executor);
-    stream->expires_at(limit);
+    return false;
+}
+
+asio::awaitable<Connections::StreamPtr> Connections::connect(const Endpoint &address, TimePoint until)
+{
+    ++m_count;
+    StreamPtr stream(new Stream(m_executor), Closer{this});
+    stream->expires_at(until);
     const tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
     auto [ec] = co_await stream->async_connect(endpoint, asio::as_tuple(asio::use_awaitable));
     if (ec) {
-        co_return nullptr;
+        co_return StreamPtr{};
     }
     stream->socket().set_option(tcp::no_delay(true), ec);
     co_return stream;
 }
 
-void Connections::keep(const Endpoint &address, std::unique_ptr<Stream> stream)
+asio::awaitable<Connections::StreamPtr> Connections::open(Endpoint address, TimePoint until)
+{
+    while (true) {
+        auto stream = takeIdle(address);
+        if (stream) {
+            stream->expires_at(until);
+            co_return stream;
+        }
+        if (m_count < m_limit || closeIdle()) {
+            auto made = co_await connect(address, until);
+            co_return made;
+        }
+        Waiter waiter{asio::steady_timer(m_executor, until)};
+        const auto place = m_waiting.insert(m_waiting.end(), &waiter);
+        co_await waiter.timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!waiter.woken) {
+            m_waiting.erase(place);
+            co_return StreamPtr{};
+        }
+    }
+}
+
+void Connections::keep(const Endpoint &address, StreamPtr stream)
 {
     stream->expires_never();
     m_idle[address].push_back(std::move(stream));
+    wakeOne();
 }
 
 } // namespace laburnumspar::tools
--- a/tools/lspar-load/exchange.cpp
+++ b/tools/lspar-load/exchange.cpp
@@ -38,7 +38,7 @@
 }
 
 struct Opened {
-    std::unique_ptr<Connections::Stream> stream;
+    Connections::StreamPtr stream;
     Endpoint address;
 };
 
--- a/tools/lspar-load/loadrun.cpp
+++ b/tools/lspar-load/loadrun.cpp
@@ -4,6 +4,8 @@
 
 #include "laburnumspar/errors.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <fstream>
 #include <iostream>
@@ -23,11 +25,24 @@
 /// Keys in one request to the control endpoint.
 constexpr std::size_t KeysPerLookup = 20000;
 
+/// Descriptors kept free of connections to the fleet.
+constexpr std::size_t OtherDescriptors = 200;
+
 struct InjectedFault {
     ScenarioFault fault;
     UpstreamControl::FaultPosted posted;
 };
 
+/// Connections that the process may have open: its descriptors without those for files, threads and control.
+std::size_t connectionsMax()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        throw UsageError("cannot read the limit of open files");
+    }
+    return limit.rlim_cur > OtherDescriptors ? limit.rlim_cur - OtherDescriptors : 1;
+}
+
 std::string readFile(const std::string &path)
 {
     std::ifstream in(path);
@@ -45,6 +60,7 @@
     plan.scenario = parseScenario(readFile(options.scenario), options.scenario);
     plan.seed = options.seed;
     plan.workers = options.threads;
+    plan.connections = connectionsMax();
     plan.entries = options.entries;
     if (options.direct) {
         plan.direct = control.addresses();
--- a/tools/lspar-load/worker.cpp
+++ b/tools/lspar-load/worker.cpp
@@ -89,9 +89,10 @@
     // Without the fleet a worker is a single caller: its connections count against the limit of the upstreams.
     const auto &scenario = m_plan.scenario;
     const unsigned all = m_plan.direct.empty() ? scenario.callers.count : m_plan.workers;
+    const std::size_t limit = m_plan.connections / std::max(all, 1U);
     for (unsigned n = m_index; n < all; n += m_plan.workers) {
         Caller caller;
-        caller.connections = std::make_unique<Connections>(m_context.get_executor());
+        caller.connections = std::make_unique<Connections>(m_context.get_executor(), limit);
         caller.zone = scenario.pool.zones[n % scenario.pool.zones.size()];
         for (const auto &mix : scenario.mix) {
             const AddressBook::Source source{m_plan.entries,
--- a/tools/lspar-load/worker.h
+++ b/tools/lspar-load/worker.h
@@ -21,6 +21,7 @@
     detail::Scenario scenario;
     std::uint64_t seed = 1;
     unsigned workers = 1;
+    std::size_t connections = 1; ///< open at once, of all callers together
     std::vector<Endpoint> entries;
     std::vector<Endpoint> direct; ///< upstreams, for a baseline without the fleet; empty: through the fleet
     std::string tag; ///< prefix of the request keys of this run
