upstream pool: a success tells of its beginning; doubtful upstreams are not left idle

Instances spent trials on the same upstreams.

Change: idle time weighs more and longer; the start of a trial is told to the other instances; the belief counts the age of a success from its beginning, here and in observations (LBG2).

Ruled out: lost datagrams and missing registry entries; the idle upstreams were known and serving.

Three new tests failed before.

--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -54,11 +54,12 @@
         std::vector<std::string> exclude; ///< identities that already had the request
     };
 
-    /// How attempts of another instance ended.
+    /// How attempts of another instance ended. Without any end: a trial has begun.
     struct Observation {
         std::string id;
         unsigned successes = 0;
         unsigned failures = 0;
+        Milliseconds successAge{0}; ///< since the start of the newest success
     };
 
     struct Choice {
@@ -84,7 +85,7 @@
     std::optional<Choice> start(const Request &request, TimePoint now);
     void finish(AttemptId attempt, AttemptEnd end, const std::optional<ReportedLoad> &load, TimePoint now);
     void hear(const Observation &observation, TimePoint now);
-    /// Ends of own attempts since the last call. An upstream that has become silent counts as a failure.
+    /// Ends of own attempts and beginnings of trials since the last call. A silent upstream counts as a failure.
     std::vector<Observation> takeObservations(TimePoint now);
 
     /// Attempts at sound upstreams that have not ended.
@@ -114,6 +115,7 @@
         std::vector<Attempt> inFlight;
         double fault = 0; ///< probability of a fault at `faultAt`, from finished attempts
         TimePoint faultAt;
+        TimePoint soundAt; ///< start of the newest success
         TimePoint lastTrial; ///< last attempt, here or elsewhere; none if zero
         TimePoint warmAt; ///< slow until then
         TimePoint fullUntil; ///< refuses work until then
@@ -122,6 +124,7 @@
         double slowness = 1; ///< execution time compared with the usual one
         Observation unpublished;
         bool silencePublished = false;
+        bool trialUnpublished = false;
     };
 
     double faultOf(const Upstream &upstream, TimePoint now) const;
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t BeatMagic = 0x4c424731; // "LBG1"
+constexpr std::uint32_t BeatMagic = 0x4c424732; // "LBG2"
 constexpr std::uint32_t ChangesMagic = 0x4c424d31; // "LBM1"
 constexpr std::size_t MaxIdLength = 255;
 constexpr unsigned MaxCount = 255;
@@ -61,6 +61,11 @@
     status.role = checkedEnum<InstanceRole>(role);
 }
 
+std::uint16_t ageField(Milliseconds age)
+{
+    return std::uint16_t(std::clamp<std::int64_t>(age.count(), 0, 0xffff));
+}
+
 template <typename Body>
 Bytes written(Body &&body)
 {
@@ -106,7 +111,7 @@
         saveLength(ar, heard, MaxHeardInstances);
         for (std::size_t n = 0; n < heard; ++n) {
             saveIdentity(ar, beat.heard[n].status, zones);
-            ar(std::uint16_t(std::clamp<std::int64_t>(beat.heard[n].age.count(), 0, 0xffff)));
+            ar(ageField(beat.heard[n].age));
         }
         const auto observations = std::min(beat.observations.size(), MaxObservations);
         saveLength(ar, observations, MaxObservations);
@@ -115,7 +120,8 @@
             ar(Text{it.service, MaxIdLength},
                Text{it.counts.id, MaxIdLength},
                std::uint8_t(std::min(it.counts.successes, MaxCount)),
-               std::uint8_t(std::min(it.counts.failures, MaxCount)));
+               std::uint8_t(std::min(it.counts.failures, MaxCount)),
+               ageField(it.counts.successAge));
         }
     });
 }
@@ -144,6 +150,7 @@
             ar(service, id);
             it.counts.successes = unsigned(loadNumber<std::uint8_t>(ar));
             it.counts.failures = unsigned(loadNumber<std::uint8_t>(ar));
+            it.counts.successAge = Milliseconds(loadNumber<std::uint16_t>(ar));
         }
     });
     return beat;
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -45,8 +45,9 @@
 constexpr double RemoteCost = 0.55;
 constexpr double FaultCost = 1.5;
 constexpr double LastChanceFaultCost = 10;
-constexpr double MostIdle = 2; ///< seconds
-constexpr double IdleBonus = 0.3;
+/// A doubtful upstream without work for two seconds costs less than a busy sound one.
+constexpr double MostIdle = 4; ///< seconds
+constexpr double IdleBonus = 0.4;
 constexpr double MostTrialWait = 10; ///< seconds
 constexpr double TrialWaitCost = 0.2;
 constexpr double ColdCost = 0.3;
@@ -101,6 +102,7 @@
         upstream.warmAt = now + entry.warmupLeft;
         upstream.fault = m_prior;
         upstream.faultAt = now;
+        upstream.soundAt = now;
     }
     upstream.entry = entry;
 }
@@ -150,6 +152,7 @@
     best->lastTrial = now;
     if (bestFault > FaultyLevel) {
         m_trialCredit = std::max(0.0, m_trialCredit - 1);
+        best->trialUnpublished = true;
     }
     m_attempts.emplace(attempt, best->entry.id);
     return Choice{attempt, best->entry, bestFault};
@@ -175,6 +178,7 @@
             other.outdated = other.outdated || other.started < attempt.started;
         }
         ++upstream.unpublished.successes;
+        upstream.soundAt = std::max(upstream.soundAt, attempt.started);
         upstream.silencePublished = false;
         learnTime(upstream, attempt, now);
         break;
@@ -211,8 +215,12 @@
     }
     const double evidence
         = double(observation.successes) * successEvidence + double(observation.failures) * failureEvidence;
-    addEvidence(it->second, RemoteWeight * evidence, now);
-    it->second.lastTrial = now;
+    auto &upstream = it->second;
+    if (observation.successes > 0) {
+        upstream.soundAt = std::max(upstream.soundAt, now - observation.successAge);
+    }
+    addEvidence(upstream, RemoteWeight * evidence, now);
+    upstream.lastTrial = now;
 }
 
 std::vector<UpstreamPool::Observation> UpstreamPool::takeObservations(TimePoint now)
@@ -224,9 +232,11 @@
             ++upstream.unpublished.failures;
             upstream.silencePublished = true;
         }
-        if (upstream.unpublished.successes + upstream.unpublished.failures > 0) {
+        if (upstream.unpublished.successes + upstream.unpublished.failures > 0 || upstream.trialUnpublished) {
             observations.push_back(std::exchange(upstream.unpublished, {}));
             observations.back().id = id;
+            observations.back().successAge = std::chrono::duration_cast<Milliseconds>(now - upstream.soundAt);
+            upstream.trialUnpublished = false;
         }
     }
     return observations;
@@ -265,8 +275,10 @@
 
 double UpstreamPool::faultOf(const Upstream &upstream, TimePoint now) const
 {
-    const double kept = std::exp(-seconds(now - upstream.faultAt) / ChangeSeconds);
-    return m_prior + (upstream.fault - m_prior) * kept;
+    const auto kept = [now](TimePoint since) { return std::exp(-seconds(now - since) / ChangeSeconds); };
+    const double drifted = m_prior + (upstream.fault - m_prior) * kept(upstream.faultAt);
+    // A success tells of the time when its work began, however late it ends.
+    return std::max(drifted, m_prior * (1 - kept(upstream.soundAt)));
 }
 
 double UpstreamPool::faultWithSilence(const Upstream &upstream, TimePoint now) const
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -20,7 +20,7 @@
     heard.status = {"10.2.0.1", "catania", 41, InstanceRole::Spare, 500};
     heard.age = Milliseconds(700);
     beat.heard.push_back(heard);
-    beat.observations.push_back({"orders", {"i-1", 3, 1}});
+    beat.observations.push_back({"orders", {"i-1", 3, 1, Milliseconds(1500)}});
     return beat;
 }
 
@@ -44,6 +44,8 @@
     BOOST_TEST(beat.heard[0].age.count() == 700);
     BOOST_REQUIRE(beat.observations.size() == 1U);
     BOOST_TEST(beat.observations[0].counts.successes == 3U);
+    BOOST_TEST(beat.observations[0].counts.failures == 1U);
+    BOOST_TEST(beat.observations[0].counts.successAge.count() == 1500);
 }
 
 // Guards against datagrams that are fragmented: a full one fits the usual frame.
--- a/tests/test_upstreampool.cpp
+++ b/tests/test_upstreampool.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 
 using namespace laburnumspar;
@@ -144,13 +145,77 @@
     BOOST_TEST(choices(true, 50)["a"] == 0);
 }
 
+// Guards against an upstream that is neither trusted nor tried: a doubtful one gets work within two seconds.
+BOOST_FIXTURE_TEST_CASE(doubtfulUpstreamIsNotLeftIdle, Fixture)
+{
+    pool.hear({"a", 1, 2, {}}, now);
+    BOOST_TEST(faultOf("a") > 0.25);
+    BOOST_TEST(faultOf("a") < 0.5);
+    std::vector<UpstreamPool::AttemptId> running;
+    int seen = 0;
+    for (int n = 0; n < 100; ++n) {
+        now += 20ms;
+        const auto choice = start(false);
+        BOOST_REQUIRE(choice);
+        seen += choice->upstream.id == "a";
+        pool.finish(choice->attempt, AttemptEnd::Success, std::nullopt, now);
+        if (choice->upstream.id == "a") {
+            break;
+        }
+    }
+    BOOST_TEST(seen == 1);
+}
+
+// Guards against trust in a success whose work began long ago: the upstream may hang since.
+BOOST_FIXTURE_TEST_CASE(lateSuccessTellsOfItsBeginning, Fixture)
+{
+    run({AttemptEnd::Silence, AttemptEnd::Silence}, "b"); // a share of faulty upstreams to expect
+    run({AttemptEnd::Silence, AttemptEnd::Silence}, "c");
+    now += 600ms;
+    const auto choice = start(false, {"b", "c", "d"});
+    BOOST_REQUIRE(choice);
+    now += 3s;
+    pool.finish(choice->attempt, AttemptEnd::Success, std::nullopt, now);
+    const double afterLate = faultOf("a");
+    BOOST_TEST(afterLate > 0.1);
+    run({AttemptEnd::Success}, "a");
+    BOOST_TEST(faultOf("a") < afterLate / 2);
+}
+
+// Guards against instances that spend their trials on the same faulty upstream.
+BOOST_FIXTURE_TEST_CASE(trialsAreToldToOthers, Fixture)
+{
+    run(AttemptEnd::Silence, "a", 4);
+    pool.takeObservations(now);
+    now += 1300ms;
+    earnTrials();
+    pool.takeObservations(now);
+    BOOST_TEST(choices(false, 50)["a"] == 1);
+    const auto observations = pool.takeObservations(now);
+    const auto told = std::any_of(
+        observations.begin(), observations.end(), [](const UpstreamPool::Observation &it) { return it.id == "a"; });
+    BOOST_TEST(told);
+    UpstreamPool other("palermo", 2);
+    other.put(makeUpstream("a"), now);
+    other.put(makeUpstream("b"), now);
+    other.hear({"a", 0, 5, {}}, now);
+    now += 1300ms;
+    other.hear({"a", 0, 0, {}}, now);
+    for (int n = 0; n < 50; ++n) {
+        const auto choice = other.start({&latency, false, true, {}}, now);
+        BOOST_REQUIRE(choice);
+        BOOST_TEST(choice->upstream.id == "b");
+        other.finish(choice->attempt, AttemptEnd::Refused, std::nullopt, now);
+    }
+}
+
 // Guards against one fault that each instance has to find by itself.
 BOOST_FIXTURE_TEST_CASE(observationsOfOtherInstancesCount, Fixture)
 {
-    pool.hear({"a", 0, 3}, now);
+    pool.hear({"a", 0, 3, {}}, now);
     BOOST_TEST(faultOf("a") > 0.6);
     BOOST_TEST(choices(true, 50)["a"] == 0);
-    pool.hear({"unknown", 0, 3}, now);
+    pool.hear({"unknown", 0, 3, {}}, now);
 }
 
 // Guards against more work than an upstream has slots, also by other instances that it reports.
