upstream pool: work with one chance weighs the probability of a fault more, and the zone more

Change: such work costs 30 instead of 10 times the probability, which gathers it at upstreams with news; another zone costs 1.1 instead of 0.55, as the first change alone moved it between zones.

--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -42,9 +42,9 @@
 /// Reports of the load by other instances' work halve in this time.
 constexpr double ForeignHalfLifeSeconds = 0.5;
 /// Costs, in shares of an upstream's capacity.
-constexpr double RemoteCost = 0.55;
+constexpr double RemoteCost = 1.1;
 constexpr double FaultCost = 1.5;
-constexpr double LastChanceFaultCost = 10;
+constexpr double LastChanceFaultCost = 30;
 /// A doubtful upstream without work for two seconds costs less than a busy sound one.
 constexpr double MostIdle = 4; ///< seconds
 constexpr double IdleBonus = 0.4;
