upstream pool: an upstream that has had no work yet is doubtful

Change: an unknown upstream starts at 0.25, below the level at which such work is kept away, so that it gathers at those that have answered and still finds a place when there is none.

--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -13,6 +13,8 @@
 /// Time in which an upstream may change between sound and faulty.
 constexpr double ChangeSeconds = 6;
 constexpr double LeastPrior = 0.03;
+/// Of an upstream that has had no work yet: work with one chance prefers those that have answered.
+constexpr double UnknownFault = 0.25;
 constexpr double MostPrior = 0.35;
 constexpr Milliseconds PriorInterval{500};
 /// Bounds of the probability, so that new evidence counts soon.
@@ -100,7 +102,7 @@
         }
         upstream = {};
         upstream.warmAt = now + entry.warmupLeft;
-        upstream.fault = m_prior;
+        upstream.fault = std::max(m_prior, UnknownFault);
         upstream.faultAt = now;
         upstream.soundAt = now;
     }
