gateway: histograms by service, kind and outcome; one file for what is logged of a request

The metrics of the platform path were counters by service and outcome and one summary with quantiles, which do not add up over instances. Now: requests by service, kind, outcome and reason; histograms of the total time, of the time until the first attempt, and of each attempt by its end. request.done carries the queueing time.

The price of the histograms in processor time was not measured by itself.

--- a/include/laburnumspar/metrics.h
+++ b/include/laburnumspar/metrics.h
@@ -77,6 +77,27 @@
     std::unique_ptr<Private> m_d;
 };
 
+/// Counts of values in fixed ranges, which can be added up over instances.
+class Histogram
+{
+public:
+    /// Upper bounds of the ranges, in seconds; a last range takes the rest.
+    static constexpr std::array<double, 12> Bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16};
+
+    void record(double seconds) noexcept;
+    std::uint64_t count() const noexcept;
+    double sum() const noexcept
+    {
+        return m_sum.load(std::memory_order_relaxed);
+    }
+    /// Values up to this bound.
+    std::uint64_t countUpTo(std::size_t bound) const noexcept;
+
+private:
+    std::array<std::atomic<std::uint64_t>, Bounds.size() + 1> m_counts{};
+    std::atomic<double> m_sum{0};
+};
+
 /// All metrics of a process. A metric lives as long as the registry, so callers keep the reference.
 /// A name with invalid characters, or one already used for another kind, throws InvariantError.
 class MetricsRegistry
@@ -91,6 +112,7 @@
     Counter &counter(const std::string &name, const MetricLabels &labels = {});
     Gauge &gauge(const std::string &name, const MetricLabels &labels = {});
     Distribution &distribution(const std::string &name, const MetricLabels &labels = {});
+    Histogram &histogram(const std::string &name, const MetricLabels &labels = {});
 
     /// All metrics in the Prometheus text format, version 0.0.4.
     std::string prometheus(TimePoint now = Clock::now()) const;
--- /dev/null
+++ b/src/gateway/forwarder.cpp
@@ -0,0 +1,90 @@
+#include "gateway/forwarder.h"
+
+#include "gateway/forwarding.h"
+#include "gateway/requestreport.h"
+
+namespace laburnumspar::detail {
+
+namespace {
+
+/// The routes are usually known within this time after a start.
+constexpr Milliseconds RetryAfterStart{500};
+
+} // namespace
+
+Forwarder::Forwarder(asio::io_context &context,
+                     ServiceBoard &board,
+                     const ForwardingHeaders &headers,
+                     MetricsRegistry &metrics)
+    : m_context(context)
+    , m_board(board)
+    , m_headers(headers)
+    , m_metrics(metrics)
+    , m_links(context, headers)
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+std::shared_ptr<Forwarding> Forwarder::forward(ForwardedRequest request, Handler handler)
+{
+    const auto &table = m_board.routes();
+    const auto answerSoon = [&](http::status status, std::string_view detail, Milliseconds retryAfter) {
+        report(UnroutedRequest{request.id, request.target, table ? table->version() : 0, unsigned(status), detail},
+               m_metrics);
+        asio::post(m_context,
+                   [handler = std::move(handler),
+                    answer = ownAnswer(status, detail, request.id, m_headers, retryAfter)]() mutable {
+                       handler(std::move(answer));
+                   });
+    };
+    if (!table) {
+        answerSoon(http::status::service_unavailable, "no routes known yet", RetryAfterStart);
+        return nullptr;
+    }
+    const auto *route = table->match(request.host, request.target);
+    if (route == nullptr) {
+        answerSoon(http::status::not_found, "no route for this host and path", Milliseconds(0));
+        return nullptr;
+    }
+    auto service = m_board.nextService(*route);
+    auto forwarding = std::make_shared<Forwarding>(
+        *this, std::move(request), table, *route, std::move(service), std::move(handler));
+    asio::post(m_context, [forwarding] { forwarding->start(); });
+    return forwarding;
+}
+
+void Forwarder::dispatchWaiting(ServiceLine &line)
+{
+    const auto now = Clock::now();
+    while (const auto place = line.waiting.front(now)) {
+        const auto it = m_waiting.find(place->ticket);
+        const auto forwarding = it == m_waiting.end() ? nullptr : it->second.lock();
+        if (!forwarding) {
+            line.waiting.remove(*place);
+            continue;
+        }
+        if (!forwarding->tryStart(now)) {
+            return;
+        }
+    }
+}
+
+void Forwarder::tick(TimePoint now)
+{
+    std::vector<std::shared_ptr<Forwarding>> waiting;
+    for (const auto &[ticket, weak] : m_waiting) {
+        if (auto forwarding = weak.lock()) {
+            waiting.push_back(std::move(forwarding));
+        }
+    }
+    for (const auto &forwarding : waiting) {
+        forwarding->checkWait(now);
+    }
+    for (auto &[service, line] : m_board.lines()) {
+        dispatchWaiting(*line);
+    }
+    m_links.prune(now);
+}
+
+} // namespace laburnumspar::detail
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -1,5 +1,6 @@
 #include "gateway/forwarding.h"
 
+#include "gateway/requestreport.h"
 #include "laburnumspar/log.h"
 
 #include <algorithm>
@@ -52,87 +53,6 @@
 
 } // namespace
 
-Forwarder::Forwarder(asio::io_context &context,
-                     ServiceBoard &board,
-                     const ForwardingHeaders &headers,
-                     MetricsRegistry &metrics)
-    : m_context(context)
-    , m_board(board)
-    , m_headers(headers)
-    , m_metrics(metrics)
-    , m_links(context, headers)
-{
-}
-
-Forwarder::~Forwarder() = default;
-
-std::shared_ptr<Forwarding> Forwarder::forward(ForwardedRequest request, Handler handler)
-{
-    const auto &table = m_board.routes();
-    const auto answerSoon = [&](http::status status, std::string_view detail, Milliseconds retryAfter) {
-        logEvent(LogLevel::Info,
-                 "request.refused",
-                 {{"request", request.id},
-                  {"target", request.target},
-                  {"routes", table ? table->version() : 0},
-                  {"status", unsigned(status)},
-                  {"reason", detail}});
-        m_metrics.counter("lspar_requests_refused_total", {{"reason", std::string(detail)}}).add();
-        asio::post(m_context,
-                   [handler = std::move(handler),
-                    answer = ownAnswer(status, detail, request.id, m_headers, retryAfter)]() mutable {
-                       handler(std::move(answer));
-                   });
-    };
-    if (!table) {
-        answerSoon(http::status::service_unavailable, "no routes known yet", MostRetryAfter / 4);
-        return nullptr;
-    }
-    const auto *route = table->match(request.host, request.target);
-    if (route == nullptr) {
-        answerSoon(http::status::not_found, "no route for this host and path", Milliseconds(0));
-        return nullptr;
-    }
-    auto service = m_board.nextService(*route);
-    auto forwarding = std::make_shared<Forwarding>(
-        *this, std::move(request), table, *route, std::move(service), std::move(handler));
-    asio::post(m_context, [forwarding] { forwarding->start(); });
-    return forwarding;
-}
-
-void Forwarder::dispatchWaiting(ServiceLine &line)
-{
-    const auto now = Clock::now();
-    while (const auto place = line.waiting.front(now)) {
-        const auto it = m_waiting.find(place->ticket);
-        const auto forwarding = it == m_waiting.end() ? nullptr : it->second.lock();
-        if (!forwarding) {
-            line.waiting.remove(*place);
-            continue;
-        }
-        if (!forwarding->tryStart(now)) {
-            return;
-        }
-    }
-}
-
-void Forwarder::tick(TimePoint now)
-{
-    std::vector<std::shared_ptr<Forwarding>> waiting;
-    for (const auto &[ticket, weak] : m_waiting) {
-        if (auto forwarding = weak.lock()) {
-            waiting.push_back(std::move(forwarding));
-        }
-    }
-    for (const auto &forwarding : waiting) {
-        forwarding->checkWait(now);
-    }
-    for (auto &[service, line] : m_board.lines()) {
-        dispatchWaiting(*line);
-    }
-    m_links.prune(now);
-}
-
 Forwarding::Forwarding(Forwarder &forwarder,
                        ForwardedRequest request,
                        std::shared_ptr<const RouteTable> table,
@@ -270,6 +190,7 @@
     order.headOnly = m_request.method == "HEAD";
     order.idempotent = m_route.idempotent;
     ++m_runs;
+    m_firstStart = m_firstStart.value_or(now);
     m_tried.push_back(upstream.id);
     // The exchange holds the request, so that work which must not be repeated is read to its end also when the caller
     // has gone.
@@ -297,7 +218,7 @@
     const auto load = result.end == ExchangeEnd::Answered ? loadOf(message[names.load]) : std::nullopt;
     const auto end = [&](AttemptEnd attemptEnd, std::string_view detail) {
         m_line.pool.finish(id, attemptEnd, load, now);
-        logAttempt(attempt, attemptEnd, status, detail, now);
+        reportAttempt(attempt, attemptEnd, status, detail, now);
     };
     if (result.end == ExchangeEnd::NotSent) {
         end(AttemptEnd::Unreachable, result.failure);
@@ -453,21 +374,17 @@
     if (!handler) {
         return;
     }
-    const auto ms = std::chrono::duration<double, std::milli>(now - m_request.arrived).count();
-    logEvent(LogLevel::Info,
-             "request.done",
-             {{"request", m_request.id},
-              {"route", m_route.name},
-              {"routes", m_table->version()},
-              {"service", m_line.name},
-              {"outcome", name(outcome)},
-              {"status", answer.status},
-              {"reason", detail},
-              {"runs", m_runs},
-              {"ms", ms}});
-    auto &metrics = m_forwarder.m_metrics;
-    metrics.counter("lspar_requests_total", {{"service", m_line.name}, {"outcome", std::string(name(outcome))}}).add();
-    metrics.distribution("lspar_request_seconds", {{"service", m_line.name}}).record(ms / 1000, now);
+    report(RequestReport{m_request.id,
+                         m_line.name,
+                         &m_route,
+                         m_table->version(),
+                         outcome,
+                         answer.status,
+                         detail,
+                         m_runs,
+                         m_firstStart.value_or(now) - m_request.arrived,
+                         now - m_request.arrived},
+           m_forwarder.m_metrics);
     handler(std::move(answer));
 }
 
@@ -480,7 +397,7 @@
         const auto end = own ? AttemptEnd::Silence : AttemptEnd::Abandoned;
         m_line.pool.finish(attempt.id, end, std::nullopt, now);
         attempt.exchange->cancel();
-        logAttempt(attempt, end, 0, own ? "no answer in time" : "answered elsewhere or caller gone", now);
+        reportAttempt(attempt, end, 0, own ? "no answer in time" : "answered elsewhere or caller gone", now);
     }
 }
 
@@ -503,19 +420,18 @@
     }
 }
 
-void Forwarding::logAttempt(
+void Forwarding::reportAttempt(
     const Attempt &attempt, AttemptEnd end, unsigned status, std::string_view detail, TimePoint now) const
 {
-    const auto ms = std::chrono::duration<double, std::milli>(now - attempt.started).count();
-    logEvent(LogLevel::Info,
-             "attempt.done",
-             {{"request", m_request.id},
-              {"upstream", attempt.upstream},
-              {"fault_probability", attempt.faultProbability},
-              {"end", name(end)},
-              {"status", status},
-              {"detail", detail},
-              {"ms", ms}});
+    report(AttemptReport{m_request.id,
+                         m_line.name,
+                         attempt.upstream,
+                         attempt.faultProbability,
+                         end,
+                         status,
+                         detail,
+                         now - attempt.started},
+           m_forwarder.m_metrics);
 }
 
 } // namespace laburnumspar::detail
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -1,60 +1,14 @@
 #pragma once
 
-#include "gateway/httptext.h"
-#include "gateway/serviceboard.h"
-#include "gateway/upstreamlinks.h"
-#include "laburnumspar/metrics.h"
+#include "gateway/forwarder.h"
 
-#include <functional>
-#include <map>
 #include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace laburnumspar::detail {
 
-class Forwarding;
-
-/// What all requests of an instance share.
-class Forwarder
-{
-public:
-    using Handler = std::function<void(CallerAnswer)>;
-
-    Forwarder(asio::io_context &context,
-              ServiceBoard &board,
-              const ForwardingHeaders &headers,
-              MetricsRegistry &metrics);
-    ~Forwarder();
-    Forwarder(const Forwarder &) = delete;
-    Forwarder &operator=(const Forwarder &) = delete;
-
-    /// Answers at once where no route fits. The handler is called once, never from within this call.
-    std::shared_ptr<Forwarding> forward(ForwardedRequest request, Handler handler);
-    /// Gives free slots to waiting requests.
-    void dispatchWaiting(ServiceLine &line);
-    /// The same for all services; refuses those that wait in vain.
-    void tick(TimePoint now);
-    UpstreamLinks &links()
-    {
-        return m_links;
-    }
-    std::size_t inFlight() const
-    {
-        return m_inFlight;
-    }
-
-private:
-    friend class Forwarding;
-
-    asio::io_context &m_context;
-    ServiceBoard &m_board;
-    const ForwardingHeaders &m_headers;
-    MetricsRegistry &m_metrics;
-    UpstreamLinks m_links;
-    std::map<WaitingLine::Ticket, std::weak_ptr<Forwarding>> m_waiting;
-    WaitingLine::Ticket m_nextTicket = 1;
-    std::size_t m_inFlight = 0;
-};
-
 /// One request of a caller on its way to an answer.
 class Forwarding : public std::enable_shared_from_this<Forwarding>
 {
@@ -103,8 +57,8 @@
     void giveUp(http::status status, std::string_view detail, TimePoint now);
     void answer(CallerAnswer answer, Outcome outcome, std::string_view detail, TimePoint now);
     void endAttempts(TimePoint now);
-    void
-    logAttempt(const Attempt &attempt, AttemptEnd end, unsigned status, std::string_view detail, TimePoint now) const;
+    void reportAttempt(
+        const Attempt &attempt, AttemptEnd end, unsigned status, std::string_view detail, TimePoint now) const;
 
     Forwarder &m_forwarder;
     ForwardedRequest m_request;
@@ -120,6 +74,7 @@
     std::vector<std::string> m_tried;
     std::optional<WaitingLine::Place> m_place;
     std::optional<CallerAnswer> m_failureAnswer; ///< of an upstream that ran the request and failed
+    std::optional<TimePoint> m_firstStart;
     unsigned m_runs = 0; ///< attempts which may have run
     bool m_gone = false;
 };
--- /dev/null
+++ b/src/gateway/requestreport.cpp
@@ -0,0 +1,79 @@
+#include "gateway/requestreport.h"
+
+#include "laburnumspar/log.h"
+
+namespace laburnumspar::detail {
+
+namespace {
+
+double milliseconds(Clock::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+double seconds(Clock::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+std::string text(std::string_view value)
+{
+    return std::string(value);
+}
+
+} // namespace
+
+void report(const UnroutedRequest &request, MetricsRegistry &metrics)
+{
+    logEvent(LogLevel::Info,
+             "request.refused",
+             {{"request", request.id},
+              {"target", request.target},
+              {"routes", request.routes},
+              {"status", request.status},
+              {"reason", request.reason}});
+    metrics.counter("lspar_requests_refused_total", {{"reason", text(request.reason)}}).add();
+}
+
+void report(const AttemptReport &attempt, MetricsRegistry &metrics)
+{
+    logEvent(LogLevel::Info,
+             "attempt.done",
+             {{"request", attempt.request},
+              {"upstream", attempt.upstream},
+              {"fault_probability", attempt.faultProbability},
+              {"end", name(attempt.end)},
+              {"status", attempt.status},
+              {"detail", attempt.detail},
+              {"ms", milliseconds(attempt.took)}});
+    metrics.histogram("lspar_upstream_seconds", {{"service", text(attempt.service)}, {"end", text(name(attempt.end))}})
+        .record(seconds(attempt.took));
+}
+
+void report(const RequestReport &request, MetricsRegistry &metrics)
+{
+    logEvent(LogLevel::Info,
+             "request.done",
+             {{"request", request.request},
+              {"route", request.route->name},
+              {"routes", request.routes},
+              {"service", request.service},
+              {"outcome", name(request.outcome)},
+              {"status", request.status},
+              {"reason", request.reason},
+              {"runs", request.runs},
+              {"queue_ms", milliseconds(request.queued)},
+              {"ms", milliseconds(request.took)}});
+    const auto service = text(request.service);
+    const std::string kind = request.route->idempotent ? "idempotent" : "once";
+    const auto outcome = text(name(request.outcome));
+    metrics
+        .counter("lspar_requests_total",
+                 {{"service", service}, {"kind", kind}, {"outcome", outcome}, {"reason", text(request.reason)}})
+        .add();
+    metrics.histogram("lspar_request_seconds", {{"service", service}, {"kind", kind}, {"outcome", outcome}})
+        .record(seconds(request.took));
+    metrics.histogram("lspar_queue_seconds", {{"service", service}, {"kind", kind}}).record(seconds(request.queued));
+}
+
+} // namespace laburnumspar::detail
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -135,12 +135,34 @@
     });
 }
 
+void Histogram::record(double seconds) noexcept
+{
+    const auto range = std::size_t(std::lower_bound(Bounds.begin(), Bounds.end(), seconds) - Bounds.begin());
+    m_counts[range].fetch_add(1, std::memory_order_relaxed);
+    m_sum.fetch_add(seconds, std::memory_order_relaxed);
+}
+
+std::uint64_t Histogram::countUpTo(std::size_t bound) const noexcept
+{
+    std::uint64_t total = 0;
+    for (std::size_t n = 0; n <= bound; ++n) {
+        total += m_counts[n].load(std::memory_order_relaxed);
+    }
+    return total;
+}
+
+std::uint64_t Histogram::count() const noexcept
+{
+    return countUpTo(Bounds.size());
+}
+
 namespace {
 
 enum class MetricKind : std::uint8_t {
     Counter,
     Gauge,
     Distribution,
+    Histogram,
 };
 
 constexpr std::string_view typeName(MetricKind kind)
@@ -151,9 +173,11 @@
     case MetricKind::Gauge:
         return "gauge";
     case MetricKind::Distribution:
+        return "summary";
+    case MetricKind::Histogram:
         break;
     }
-    return "summary";
+    return "histogram";
 }
 
 /// Metrics of one name by their labels in text form.
@@ -165,6 +189,7 @@
     MetricsOf<Counter> counters;
     MetricsOf<Gauge> gauges;
     MetricsOf<Distribution> distributions;
+    MetricsOf<Histogram> histograms;
 };
 
 using Families = std::map<std::string, Family>;
@@ -233,6 +258,19 @@
     appendSample(out, name + "_count", labels, std::to_string(data.count));
 }
 
+void appendHistogram(std::string &out, const std::string &name, const std::string &labels, const Histogram &data)
+{
+    const auto prefix = labels.empty() ? labels : labels + ',';
+    for (std::size_t n = 0; n < Histogram::Bounds.size(); ++n) {
+        const auto bound = prefix + "le=\"" + number(Histogram::Bounds[n]) + '"';
+        appendSample(out, name + "_bucket", bound, std::to_string(data.countUpTo(n)));
+    }
+    const auto count = std::to_string(data.count());
+    appendSample(out, name + "_bucket", prefix + "le=\"+Inf\"", count);
+    appendSample(out, name + "_sum", labels, number(data.sum()));
+    appendSample(out, name + "_count", labels, count);
+}
+
 /// Where the values of one family are found; values are read without the lock of the registry.
 struct FamilyView {
     std::string name;
@@ -240,6 +278,7 @@
     std::vector<std::pair<std::string, const Counter *>> counters;
     std::vector<std::pair<std::string, const Gauge *>> gauges;
     std::vector<std::pair<std::string, const Distribution *>> distributions;
+    std::vector<std::pair<std::string, const Histogram *>> histograms;
 };
 
 template <typename T>
@@ -274,7 +313,7 @@
         requireInvariant(validName(name), "metric names have letters, digits and _ only");
         const auto text = labelText(labels);
         return families.with([&](Families &all) -> T & {
-            auto &family = all.try_emplace(name, Family{kind, {}, {}, {}}).first->second;
+            auto &family = all.try_emplace(name, Family{kind, {}, {}, {}, {}}).first->second;
             requireInvariant(family.kind == kind, "a metric name has one kind");
             auto &metric = (family.*member)[text];
             if (!metric) {
@@ -289,8 +328,12 @@
         return families.with([](const Families &all) {
             std::vector<FamilyView> views;
             for (const auto &[name, family] : all) {
-                views.push_back(FamilyView{
-                    name, family.kind, viewOf(family.counters), viewOf(family.gauges), viewOf(family.distributions)});
+                views.push_back(FamilyView{name,
+                                           family.kind,
+                                           viewOf(family.counters),
+                                           viewOf(family.gauges),
+                                           viewOf(family.distributions),
+                                           viewOf(family.histograms)});
             }
             return views;
         });
@@ -322,6 +365,11 @@
     return m_d->find<Distribution>(name, labels, MetricKind::Distribution, &Family::distributions, m_d->window);
 }
 
+Histogram &MetricsRegistry::histogram(const std::string &name, const MetricLabels &labels)
+{
+    return m_d->find<Histogram>(name, labels, MetricKind::Histogram, &Family::histograms);
+}
+
 std::string MetricsRegistry::prometheus(TimePoint now) const
 {
     std::string out;
@@ -338,6 +386,9 @@
         for (const auto &[labels, distribution] : family.distributions) {
             appendSummary(out, family.name, labels, distribution->summary(now));
         }
+        for (const auto &[labels, histogram] : family.histograms) {
+            appendHistogram(out, family.name, labels, *histogram);
+        }
     }
     return out;
 }
--- a/tests/test_metrics.cpp
+++ b/tests/test_metrics.cpp
@@ -73,6 +73,24 @@
     BOOST_TEST(summary.sum == 6);
 }
 
+// Guards against ranges that do not add up: each bound counts all values up to it.
+BOOST_AUTO_TEST_CASE(histogramsCountUpToEachBound)
+{
+    MetricsRegistry registry;
+    auto &runs = registry.histogram("run_seconds", {{"service", "orders"}});
+    for (const double value : {0.004, 0.005, 0.3, 100.0}) {
+        runs.record(value);
+    }
+    const auto text = registry.prometheus();
+    BOOST_TEST(text.find("# TYPE run_seconds histogram\n") == 0U);
+    BOOST_TEST((text.find("run_seconds_bucket{service=\"orders\",le=\"0.005\"} 2\n") != std::string::npos));
+    BOOST_TEST((text.find("run_seconds_bucket{service=\"orders\",le=\"0.25\"} 2\n") != std::string::npos));
+    BOOST_TEST((text.find("run_seconds_bucket{service=\"orders\",le=\"16\"} 3\n") != std::string::npos));
+    BOOST_TEST((text.find("run_seconds_bucket{service=\"orders\",le=\"+Inf\"} 4\n") != std::string::npos));
+    BOOST_TEST((text.find("run_seconds_count{service=\"orders\"} 4\n") != std::string::npos));
+    BOOST_TEST(std::abs(runs.sum() - 100.309) < 1e-9);
+}
+
 // Guards against one name with two kinds, and against names that the text format cannot carry.
 BOOST_AUTO_TEST_CASE(misusedNamesAreRefused)
 {
