store follower: instances that only lag are not taken for different; platform settings can be checked and printed

Cause of the many group.differs lines: the digest of any active instance was compared, also of one that was a moment behind or ahead. Now a difference counts at the same revision, or if an instance stays behind unchanged.

--- a/include/laburnumspar/gateway.h
+++ b/include/laburnumspar/gateway.h
@@ -54,6 +54,9 @@
     std::string logLevel = "info";
 };
 
+/// The effective settings, for people to read.
+std::string toToml(const GatewaySettings &settings);
+
 /// What an item of the store means.
 using StoreMeaning = std::variant<std::monostate, RegisteredUpstream, std::shared_ptr<const RouteTable>>;
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -159,23 +159,31 @@
 }
 
 /// An active instance that has known something else for a while: a change that was held back, or whose revision is
-/// older than what is known here, does not show by its revision.
+/// older than what is known here, does not show by its revision. One that only lags behind a moving store is passed over.
 const InstanceStatus *StoreFollower::differingPeer(TimePoint now)
 {
-    const auto it = std::find_if(m_peers.begin(), m_peers.end(), [&](const InstanceStatus &peer) {
-        return peer.role == InstanceRole::Active && peer.storeRevision > 0 && peer.storeDigest != m_mirror.digest()
-            && m_group.ageOf(peer.ip, now) < PeerFreshness;
-    });
-    if (it == m_peers.end()) {
-        m_differsSince.reset();
-        return nullptr;
-    }
-    m_differsSince = m_differsSince.value_or(now);
-    if (now - *m_differsSince < DifferencePatience) {
-        return nullptr;
-    }
-    m_differsSince.reset();
-    return &*it;
+    for (const auto &peer : m_peers) {
+        if (peer.role != InstanceRole::Active || peer.storeDigest == m_mirror.digest()
+            || m_group.ageOf(peer.ip, now) >= PeerFreshness) {
+            m_differences.erase(peer.ip);
+            continue;
+        }
+        if (peer.storeRevision == 0 || peer.storeRevision > m_mirror.newestChange()) {
+            continue;
+        }
+        const Difference seen{
+            peer.storeRevision, peer.storeDigest, peer.storeRevision == m_mirror.newestChange(), now};
+        auto &known = m_differences.try_emplace(peer.ip, seen).first->second;
+        const bool moved = known.revision != seen.revision || known.digest != seen.digest;
+        if (!known.sameRevision && (seen.sameRevision || moved)) {
+            known = seen;
+        }
+        if (now - known.since >= DifferencePatience) {
+            m_differences.erase(peer.ip);
+            return &peer;
+        }
+    }
+    return nullptr;
 }
 
 awaitable<bool> StoreFollower::pullFromPeer(const std::string &ip, std::uint64_t after)
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -49,6 +49,14 @@
     }
 
 private:
+    /// What an instance knew when it was first seen to differ.
+    struct Difference {
+        std::uint64_t revision = 0;
+        std::uint64_t digest = 0;
+        bool sameRevision = false; ///< at the revision of this instance: then it is no lag
+        TimePoint since;
+    };
+
     awaitable<void> followStore();
     awaitable<void> followPeers();
     awaitable<void> readStore();
@@ -85,7 +93,7 @@
     std::map<std::string, std::uint64_t> m_pendingRemovals; ///< revisions of removals that the registry holds back
     std::optional<TimePoint> m_lastAnswer;
     std::optional<TimePoint> m_failedSince;
-    std::optional<TimePoint> m_differsSince; ///< an active instance knows something else, though nothing newer
+    std::map<std::string, Difference> m_differences; ///< active instances that know something else, though nothing newer
     std::optional<TimePoint> m_lastNews; ///< when the store last answered any instance
     std::uint64_t m_storeCalls = 0;
     std::vector<InstanceStatus> m_peers;
--- a/src/settingstoml.cpp
+++ b/src/settingstoml.cpp
@@ -1,8 +1,10 @@
-// Prints settings as TOML. Strings need no escapes: the parsers admit no quotes, backslashes or control characters.
+// Prints settings as TOML.
+#include "laburnumspar/gateway.h"
 #include "laburnumspar/settings.h"
 
 #include <charconv>
 #include <concepts>
+#include <cstdio>
 
 namespace laburnumspar {
 
@@ -10,7 +12,20 @@
 
 std::string literal(const std::string &text)
 {
-    return '"' + text + '"';
+    std::string quoted = "\"";
+    for (const char c : text) {
+        if (static_cast<unsigned char>(c) < 0x20) {
+            char buf[8];
+            std::snprintf(buf, sizeof buf, "\\u%04X", unsigned(c));
+            quoted += buf;
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            quoted += '\\';
+        }
+        quoted += c;
+    }
+    return quoted + '"';
 }
 
 std::string literal(bool value)
@@ -51,6 +66,15 @@
     return '[' + text + ']';
 }
 
+std::string literal(const std::vector<std::string> &texts)
+{
+    std::string all;
+    for (const auto &text : texts) {
+        all += (all.empty() ? "" : ", ") + literal(text);
+    }
+    return '[' + all + ']';
+}
+
 class TomlText
 {
 public:
@@ -122,4 +146,23 @@
     return std::move(out).text();
 }
 
+std::string toToml(const GatewaySettings &settings)
+{
+    TomlText out;
+    out.section("[instance]").put("name", settings.name).put("ip", settings.ip).put("zone", settings.zone);
+    out.put("zones", settings.zones).put("capacity", settings.capacity).put("fleet_start", settings.fleetStart);
+    out.section("[listen]").put("callers", settings.callers).put("readiness", settings.readiness);
+    out.put("addresses", settings.addresses).put("peers", settings.peers);
+    if (settings.metrics) {
+        out.put("metrics", *settings.metrics);
+    }
+    out.section("[fleet]").put("seeds", settings.seeds).put("store", settings.store);
+    const auto &bounds = settings.bounds;
+    out.section("[bounds]").put("grace_ms", bounds.graceTime).put("address_lifetime_max_ms", bounds.addressLifetimeMax);
+    out.put("retry_share", bounds.retryShare).put("retry_window_ms", bounds.retryWindow);
+    out.put("retry_reserve", bounds.retryReserve).put("heartbeat_ms", bounds.heartbeat);
+    out.section("[log]").put("level", settings.logLevel);
+    return std::move(out).text();
+}
+
 } // namespace laburnumspar
--- a/tests/fleet/commandline.sh
+++ b/tests/fleet/commandline.sh
@@ -33,6 +33,7 @@
 expect_exit 1 "127.0.0.1:1" dump --admin 127.0.0.1:1
 expect_exit 1 "404" addresses --at "$(fleet_callers 0)" --service nosuch
 expect_exit 0 "valid" check --settings "$good"
+expect_exit 3 "self.node_name" check --platform "$good"
 expect_exit 0 "valid" check --service "$service"
 expect_exit 0 "slots = $FLEET_SLOTS" print --service "$service"
 expect_exit 0 "incarnation" dump --admin "$(fleet_admin 0)"
--- a/tests/test_platformedge.cpp
+++ b/tests/test_platformedge.cpp
@@ -1,6 +1,7 @@
 #include "platform/edge.h"
 #include "platform/settingsfile.h"
 
+#include "detail/tomlsection.h"
 #include "laburnumspar/errors.h"
 
 #include <boost/beast/core/detail/base64.hpp>
@@ -145,6 +146,18 @@
     BOOST_CHECK_THROW(platform::parseSettings(wrong, "local.toml"), SettingsError);
 }
 
+// Guards against effective settings that hide what was read, or that are no TOML for odd names.
+BOOST_AUTO_TEST_CASE(effectiveSettingsAreShown)
+{
+    auto settings = platform::parseSettings(settingsText, "local.toml");
+    settings.name = "a\"b\\c\n";
+    const auto text = toToml(settings);
+    const auto root = detail::parseToml(text, "printed.toml");
+    BOOST_TEST(root.at_path("instance.name").value<std::string>().value() == settings.name);
+    BOOST_TEST(root.at_path("listen.callers").value<std::string>().value() == "10.1.0.35:8144");
+    BOOST_TEST(root.at_path("bounds.retry_reserve").value<double>().value() == 58);
+}
+
 // Guards against a question for addresses that loses the zone of the caller.
 BOOST_AUTO_TEST_CASE(addressQuestionsAreDecoded)
 {
--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -84,6 +84,7 @@
 
     awaitable<HttpResponse> answerPeer()
     {
+        ++peerAsked;
         const auto bytes = encodeChanges({50, {{"servers/i-9", serverText, 50, false}}});
         co_return makeResponse(http::status::ok, "application/octet-stream", std::string(bytes.begin(), bytes.end()));
     }
@@ -124,6 +125,7 @@
     ServiceBoard board;
     InstanceGroup group;
     int announced = 0;
+    int peerAsked = 0;
     StoreFollower follower;
 };
 
@@ -212,6 +214,45 @@
     BOOST_TEST(board.registry().find("i-1") != nullptr);
 }
 
+// Guards against asking instances for everything again and again because they are a moment behind a store that changes.
+BOOST_FIXTURE_TEST_CASE(instancesThatLagAreNotAsked, Fixture)
+{
+    events = itemOf("i-1", 60);
+    revision = 60;
+    becomeActive();
+    follower.start();
+    BOOST_TEST(runUntil([this] { return board.registry().find("i-1") != nullptr; }));
+    auto status = makeStatus("127.0.0.2");
+    status.role = InstanceRole::Active;
+    status.storeRevision = 10;
+    const auto until = Clock::now() + 3s;
+    runUntil([&] {
+        status.storeRevision = 10 + (status.storeRevision + 1) % 40;
+        ++status.storeDigest;
+        group.hear(status, Clock::now());
+        return Clock::now() > until;
+    });
+    BOOST_TEST(peerAsked == 0);
+}
+
+// Guards against two instances at the same revision that know different things while the store goes on changing.
+BOOST_FIXTURE_TEST_CASE(differencesAtTheSameRevisionAreFound, Fixture)
+{
+    events = itemOf("i-1", 60);
+    revision = 60;
+    becomeActive();
+    follower.start();
+    BOOST_TEST(runUntil([this] { return board.registry().find("i-1") != nullptr; }));
+    auto status = makeStatus("127.0.0.2");
+    status.role = InstanceRole::Active;
+    BOOST_TEST(runUntil([&] {
+        status.storeRevision = status.storeRevision == 60 ? 55 : 60;
+        ++status.storeDigest;
+        group.hear(status, Clock::now());
+        return board.registry().find("i-9") != nullptr;
+    }));
+}
+
 // Guards against a pause between the loss of the history and the list: an upstream that leaves in the gap would be seen
 // only after it has gone. Soak seed 26.
 BOOST_FIXTURE_TEST_CASE(listFollowsTheLossOfHistoryAtOnce, Fixture)
--- a/tools/laburnumspar/commands.cpp
+++ b/tools/laburnumspar/commands.cpp
@@ -44,13 +44,18 @@
 {
     po::options_description options("options of " + command);
     options.add_options()("settings", po::value<std::string>(), "settings file of a process")(
-        "service", po::value<std::string>(), "file with the settings value of a service");
+        "service", po::value<std::string>(), "file with the settings value of a service")(
+        "platform", po::value<std::string>(), "settings file of the platform, as for serve");
     const auto values = parseOptions(options, arguments);
     if (!values) {
         return std::nullopt;
     }
-    if (values->count("settings") + values->count("service") != 1) {
-        throw UsageError(command + ": one of --settings and --service is needed");
+    if (values->count("settings") + values->count("service") + values->count("platform") != 1) {
+        throw UsageError(command + ": one of --settings, --service and --platform is needed");
+    }
+    if (values->count("platform") > 0) {
+        const auto file = (*values)["platform"].as<std::string>();
+        return toToml(platform::parseSettings(readFile(file), file));
     }
     if (values->count("settings") > 0) {
         return toToml(readSettings((*values)["settings"].as<std::string>()));
