gateway: requests wait for the first routes; code that only a tool uses lives with it

They wait now, at most 0.8 s and not to their deadline.

Load scenarios, outcome checks, load statistics, the state of the platform stand-in, call counters and queries are moved from src/detail to the tools that use them, in the tools' namespace; the platform stand-in no longer shares the namespace of platform/.

--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -13,6 +13,9 @@
 /// Callers may use a connection until just before the idle limit.
 constexpr Milliseconds IdleMargin{500};
 constexpr Milliseconds WriteTimeout{20'000};
+/// An instance has usually read the routes within this time after it has begun to listen.
+constexpr Milliseconds RoutesPatience{800};
+constexpr Milliseconds RoutesStep{50};
 
 bool hasBeenClosed(tcp::socket &socket)
 {
@@ -181,14 +184,30 @@
             refuseLeaving(message);
             return;
         }
-        m_forwarding = m_state->forwarder.forward(makeForwarded(std::move(message), m_state->headers, Clock::now()),
-                                                  [weak = weak_from_this()](CallerAnswer answer) {
-                                                      if (const auto self = weak.lock();
-                                                          self && self->m_phase == Phase::Waiting) {
-                                                          self->write(std::move(answer), !self->m_keepAlive);
-                                                      }
-                                                  });
+        m_request = makeForwarded(std::move(message), m_state->headers, Clock::now());
         watchForClose();
+        forward();
+    }
+
+    /// An instance that has just started will know the routes soon; until then its requests wait.
+    void forward()
+    {
+        const auto now = Clock::now();
+        if (!m_state->forwarder.knowsRoutes() && now - m_request.arrived < RoutesPatience
+            && now + RoutesStep < m_request.deadline) {
+            m_timer.expires_after(RoutesStep);
+            m_timer.async_wait([self = shared_from_this()](error_code ec) {
+                if (!ec && self->m_phase == Phase::Waiting) {
+                    self->forward();
+                }
+            });
+            return;
+        }
+        m_forwarding = m_state->forwarder.forward(std::move(m_request), [weak = weak_from_this()](CallerAnswer answer) {
+            if (const auto self = weak.lock(); self && self->m_phase == Phase::Waiting) {
+                self->write(std::move(answer), !self->m_keepAlive);
+            }
+        });
     }
 
     // A caller that closes its connection is not waiting any more. One that sends its next request early is still
@@ -292,6 +311,7 @@
     asio::steady_timer m_timer;
     beast::flat_buffer m_buf;
     std::optional<http::request_parser<http::string_body>> m_parser;
+    ForwardedRequest m_request;
     std::shared_ptr<Forwarding> m_forwarding;
     std::string m_head;
     std::string m_body;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -27,6 +27,10 @@
     Forwarder(const Forwarder &) = delete;
     Forwarder &operator=(const Forwarder &) = delete;
 
+    bool knowsRoutes() const
+    {
+        return m_board.routes() != nullptr;
+    }
     /// Answers at once where no route fits. The handler is called once, never from within this call.
     std::shared_ptr<Forwarding> forward(ForwardedRequest request, Handler handler);
     /// Gives free slots to waiting requests.
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -159,7 +159,8 @@
 }
 
 /// An active instance that has known something else for a while: a change that was held back, or whose revision is
-/// older than what is known here, does not show by its revision. One that only lags behind a moving store is passed over.
+/// older than what is known here, does not show by its revision. One that only lags behind a moving store is passed
+/// over.
 const InstanceStatus *StoreFollower::differingPeer(TimePoint now)
 {
     for (const auto &peer : m_peers) {
@@ -171,8 +172,7 @@
         if (peer.storeRevision == 0 || peer.storeRevision > m_mirror.newestChange()) {
             continue;
         }
-        const Difference seen{
-            peer.storeRevision, peer.storeDigest, peer.storeRevision == m_mirror.newestChange(), now};
+        const Difference seen{peer.storeRevision, peer.storeDigest, peer.storeRevision == m_mirror.newestChange(), now};
         auto &known = m_differences.try_emplace(peer.ip, seen).first->second;
         const bool moved = known.revision != seen.revision || known.digest != seen.digest;
         if (!known.sameRevision && (seen.sameRevision || moved)) {
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -93,7 +93,8 @@
     std::map<std::string, std::uint64_t> m_pendingRemovals; ///< revisions of removals that the registry holds back
     std::optional<TimePoint> m_lastAnswer;
     std::optional<TimePoint> m_failedSince;
-    std::map<std::string, Difference> m_differences; ///< active instances that know something else, though nothing newer
+    std::map<std::string, Difference>
+        m_differences; ///< active instances that know something else, though nothing newer
     std::optional<TimePoint> m_lastNews; ///< when the store last answered any instance
     std::uint64_t m_storeCalls = 0;
     std::vector<InstanceStatus> m_peers;
--- a/tests/test_callcounter.cpp
+++ b/tests/test_callcounter.cpp
@@ -1,9 +1,9 @@
-#include "detail/callcounter.h"
+#include "lspar-platform/callcounter.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace laburnumspar;
-using namespace laburnumspar::detail;
+using namespace laburnumspar::tools;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/test_loadstats.cpp
+++ b/tests/test_loadstats.cpp
@@ -1,9 +1,9 @@
-#include "detail/loadstats.h"
+#include "lspar-load/loadstats.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace laburnumspar;
-using namespace laburnumspar::detail;
+using namespace laburnumspar::tools;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/test_outcomecheck.cpp
+++ b/tests/test_outcomecheck.cpp
@@ -1,24 +1,24 @@
-#include "detail/outcomecheck.h"
+#include "lspar-load/outcomecheck.h"
 
 #include "detail/bodydigest.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace laburnumspar;
-using namespace laburnumspar::detail;
+using namespace laburnumspar::tools;
 
 namespace {
 
 ExpectedAnswer expected()
 {
-    return {"k1", "r1", bodyDigest("hello"), 3};
+    return {"k1", "r1", detail::bodyDigest("hello"), 3};
 }
 
 CallerAnswer wholeAnswer()
 {
     CallerAnswer answer{200, true, "", "answered", "r1", "", ""};
-    answer.body = R"({"request":"r1","key":"k1","body_hash":")" + bodyDigest("hello") + R"(","pad":"xxx"})";
-    answer.digest = bodyDigest(answer.body);
+    answer.body = R"({"request":"r1","key":"k1","body_hash":")" + detail::bodyDigest("hello") + R"(","pad":"xxx"})";
+    answer.digest = detail::bodyDigest(answer.body);
     return answer;
 }
 
@@ -54,12 +54,12 @@
     BOOST_CHECK(judgeWith([](auto &answer) { answer.requestId = "r2"; }) == CallerOutcome::Foreign);
     BOOST_CHECK(judgeWith([](auto &answer) {
                     answer.body.replace(answer.body.find("k1"), 2, "k2");
-                    answer.digest = bodyDigest(answer.body);
+                    answer.digest = detail::bodyDigest(answer.body);
                 })
                 == CallerOutcome::Foreign);
     BOOST_CHECK(judgeWith([](auto &answer) {
                     answer.body.replace(answer.body.find("xxx"), 3, "x");
-                    answer.digest = bodyDigest(answer.body);
+                    answer.digest = detail::bodyDigest(answer.body);
                 })
                 == CallerOutcome::Partial);
 }
--- a/tests/test_platformstate.cpp
+++ b/tests/test_platformstate.cpp
@@ -1,8 +1,8 @@
-#include "detail/platformstate.h"
+#include "lspar-platform/platformstate.h"
 
 #include <boost/test/unit_test.hpp>
 
-using namespace laburnumspar::detail;
+using namespace laburnumspar::tools;
 
 // Guards against a stand-in that numbers changes as the real platform never would: the fleet trusts rising versions.
 BOOST_AUTO_TEST_CASE(oneCounterNumbersAllChanges)
--- a/tests/test_query.cpp
+++ b/tests/test_query.cpp
@@ -1,10 +1,10 @@
-#include "detail/query.h"
+#include "lspar-upstream/query.h"
 
 #include "detail/bodydigest.h"
 
 #include <boost/test/unit_test.hpp>
 
-using namespace laburnumspar::detail;
+using namespace laburnumspar::tools;
 
 // Guards against a parameter found inside of another one's name or value.
 BOOST_AUTO_TEST_CASE(parametersAreFoundByWholeName)
@@ -29,6 +29,6 @@
 // Guards against another seed or digit order than the fleet expects (seed 0, 16 hexadecimal digits).
 BOOST_AUTO_TEST_CASE(digestIsXxHash64)
 {
-    BOOST_TEST(bodyDigest("") == "ef46db3751d8e999");
-    BOOST_TEST(bodyDigest("hello") == "26c7827d889f6da3");
+    BOOST_TEST(laburnumspar::detail::bodyDigest("") == "ef46db3751d8e999");
+    BOOST_TEST(laburnumspar::detail::bodyDigest("hello") == "26c7827d889f6da3");
 }
--- a/tests/test_scenario.cpp
+++ b/tests/test_scenario.cpp
@@ -1,11 +1,11 @@
-#include "detail/scenario.h"
+#include "lspar-load/scenario.h"
 
 #include "laburnumspar/errors.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace laburnumspar;
-using namespace laburnumspar::detail;
+using namespace laburnumspar::tools;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tools/lspar-load/exchange.cpp
+++ b/tools/lspar-load/exchange.cpp
@@ -21,9 +21,9 @@
     return {value.data(), value.size()};
 }
 
-detail::CallerAnswer readAnswer(const http::response<http::string_body> &answer, bool complete)
+CallerAnswer readAnswer(const http::response<http::string_body> &answer, bool complete)
 {
-    detail::CallerAnswer found;
+    CallerAnswer found;
     found.status = answer.result_int();
     found.complete = complete;
     found.body = answer.body();
--- a/tools/lspar-load/exchange.h
+++ b/tools/lspar-load/exchange.h
@@ -2,7 +2,7 @@
 
 #include "connections.h"
 
-#include "detail/outcomecheck.h"
+#include "outcomecheck.h"
 
 #include <boost/beast/http.hpp>
 
@@ -16,7 +16,7 @@
 struct Exchange {
     bool sent = false; ///< false: no address accepted a connection
     bool answered = false; ///< the head of an answer arrived
-    detail::CallerAnswer answer;
+    CallerAnswer answer;
     std::string reason; ///< Lspar-Reason
     std::string nextIdentifier; ///< Lspar-Next-Request-Id
     std::string instance; ///< Lspar-Instance, the owner of the next identifier
--- a/tools/lspar-load/loadrun.cpp
+++ b/tools/lspar-load/loadrun.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-using namespace laburnumspar::detail;
-
 /// Time before the first arrival, in which threads start.
 constexpr Milliseconds StartDelay{200};
 /// Time for work that still runs, before the executions are asked for.
--- a/src/detail/loadstats.cpp
+++ b/tools/lspar-load/loadstats.cpp
@@ -1,11 +1,11 @@
-#include "detail/loadstats.h"
+#include "loadstats.h"
 
 #include <algorithm>
 #include <cmath>
 #include <functional>
 #include <sstream>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 namespace {
 
@@ -238,4 +238,4 @@
     return check.missed;
 }
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/src/detail/loadstats.h
+++ b/tools/lspar-load/loadstats.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "detail/outcomecheck.h"
-#include "detail/scenario.h"
+#include "outcomecheck.h"
+#include "scenario.h"
 
 #include <array>
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 /// Quantiles of a set of times, in milliseconds; 0 without any.
 struct TimeQuantiles {
@@ -94,4 +94,4 @@
                                       const std::vector<PhaseResult> &phases,
                                       const std::vector<DetectionResult> &detections);
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/src/detail/outcomecheck.cpp
+++ b/tools/lspar-load/outcomecheck.cpp
@@ -1,10 +1,10 @@
-#include "detail/outcomecheck.h"
+#include "outcomecheck.h"
 
 #include "detail/bodydigest.h"
 
 #include <boost/json.hpp>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 namespace {
 
@@ -53,7 +53,7 @@
     if (answer.status != StatusOk) {
         return answer.complete ? judgeFailure(answer) : CallerOutcome::NoAnswer;
     }
-    const bool damaged = !answer.digest.empty() && answer.digest != bodyDigest(answer.body);
+    const bool damaged = !answer.digest.empty() && answer.digest != detail::bodyDigest(answer.body);
     const auto body = parseObject(answer.body);
     if (!answer.complete || damaged || body.empty() || textOf(body, "pad").size() != expected.padding) {
         return CallerOutcome::Partial;
@@ -85,4 +85,4 @@
     return found;
 }
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/src/detail/outcomecheck.h
+++ b/tools/lspar-load/outcomecheck.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 /// What a caller of the load tool got.
 enum class CallerOutcome : std::uint8_t {
@@ -86,10 +86,10 @@
 Violations checkOutcomes(const std::vector<RequestRecord> &records,
                          const std::function<unsigned(const RequestRecord &)> &executions);
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
 
 template <>
-struct laburnumspar::EnumNames<laburnumspar::detail::CallerOutcome> {
+struct laburnumspar::EnumNames<laburnumspar::tools::CallerOutcome> {
     static constexpr std::array<std::string_view, 9> Names{
         "answered",
         "not-run",
--- a/tools/lspar-load/report.cpp
+++ b/tools/lspar-load/report.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-using namespace laburnumspar::detail;
-
 /// Seconds listed before and after the start of each phase.
 constexpr int SecondsBefore = 2;
 constexpr int SecondsAfter = 4;
--- a/tools/lspar-load/report.h
+++ b/tools/lspar-load/report.h
@@ -2,8 +2,8 @@
 
 #include "upstreamcontrol.h"
 
-#include "detail/loadstats.h"
-#include "detail/outcomecheck.h"
+#include "loadstats.h"
+#include "outcomecheck.h"
 
 #include <iosfwd>
 #include <map>
@@ -17,10 +17,10 @@
     std::string scenario;
     std::uint64_t seed = 0;
     bool direct = false;
-    std::vector<detail::PhaseResult> phases;
-    std::vector<detail::SecondResult> seconds;
-    std::vector<detail::DetectionResult> detections;
-    detail::Violations violations;
+    std::vector<PhaseResult> phases;
+    std::vector<SecondResult> seconds;
+    std::vector<DetectionResult> detections;
+    Violations violations;
     std::vector<std::string> examples; ///< requests with a violation: key, what the caller got, executions
     UpstreamTotals upstreams; ///< counted during the run
     std::map<std::string, std::uint64_t> reasons; ///< of requests without an answer: class, outcome, reason
--- a/tools/lspar-load/reportjson.cpp
+++ b/tools/lspar-load/reportjson.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 namespace json = boost::json;
-using namespace laburnumspar::detail;
 
 json::object toObject(const TimeQuantiles &times)
 {
--- a/src/detail/scenario.cpp
+++ b/tools/lspar-load/scenario.cpp
@@ -1,13 +1,13 @@
-#include "detail/scenario.h"
+#include "scenario.h"
 
-#include "detail/scenariotable.h"
 #include "laburnumspar/errors.h"
+#include "scenariotable.h"
 
 #include <algorithm>
 #include <array>
 #include <numeric>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 namespace {
 
@@ -274,4 +274,4 @@
     return 0;
 }
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/src/detail/scenario.h
+++ b/tools/lspar-load/scenario.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 /// Upstreams for which a scenario is sized.
 struct ScenarioPool {
@@ -92,4 +92,4 @@
 /// Rate at a time since the start, in requests per second; 0 after the end.
 double rateAt(const Scenario &scenario, std::chrono::nanoseconds sinceStart);
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/src/detail/scenariotable.cpp
+++ b/tools/lspar-load/scenariotable.cpp
@@ -1,11 +1,11 @@
-#include "detail/scenariotable.h"
+#include "scenariotable.h"
 
 #include "laburnumspar/errors.h"
 
 #include <cmath>
 #include <sstream>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 namespace {
 
@@ -140,4 +140,4 @@
     }
 }
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/src/detail/scenariotable.h
+++ b/tools/lspar-load/scenariotable.h
@@ -11,7 +11,7 @@
 
 #include <toml++/toml.h>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 /// Range of a number, both ends included.
 struct NumberRange {
@@ -47,4 +47,4 @@
     std::set<std::string, std::less<>> m_known;
 };
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/tools/lspar-load/upstreamcontrol.cpp
+++ b/tools/lspar-load/upstreamcontrol.cpp
@@ -83,10 +83,10 @@
     return totals;
 }
 
-detail::WorkSeries UpstreamControl::workSeries() const
+WorkSeries UpstreamControl::workSeries() const
 {
     const auto stats = json::parse(call(false, "/control/stats?series=1", ""));
-    detail::WorkSeries series;
+    WorkSeries series;
     series.bucket = Milliseconds(stats.at("bucket_ms").as_int64());
     for (const auto &each : upstreamsIn(stats)) {
         series.received.push_back(json::value_to<std::vector<std::uint32_t>>(each.at("received_per_bucket")));
@@ -94,7 +94,7 @@
     return series;
 }
 
-UpstreamControl::FaultPosted UpstreamControl::postFault(const detail::ScenarioFault &fault) const
+UpstreamControl::FaultPosted UpstreamControl::postFault(const ScenarioFault &fault) const
 {
     std::ostringstream target;
     target << "/control/fault?kind=" << fault.kind << "&factor=" << fault.factor << "&for_ms=" << fault.duration.count()
--- a/tools/lspar-load/upstreamcontrol.h
+++ b/tools/lspar-load/upstreamcontrol.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "detail/loadstats.h"
 #include "laburnumspar/types.h"
+#include "loadstats.h"
 
 #include <map>
 #include <string>
@@ -20,13 +20,13 @@
 
     std::vector<Endpoint> addresses() const;
     UpstreamTotals totals() const;
-    detail::WorkSeries workSeries() const;
+    WorkSeries workSeries() const;
 
     struct FaultPosted {
         Milliseconds at{0}; ///< in the time of the work series
         std::vector<std::size_t> upstreams;
     };
-    FaultPosted postFault(const detail::ScenarioFault &fault) const;
+    FaultPosted postFault(const ScenarioFault &fault) const;
     void clearFaults() const;
 
     /// Number of executions of those keys that were executed at all.
--- a/tools/lspar-load/worker.h
+++ b/tools/lspar-load/worker.h
@@ -4,8 +4,8 @@
 #include "connections.h"
 #include "exchange.h"
 
-#include "detail/outcomecheck.h"
-#include "detail/scenario.h"
+#include "outcomecheck.h"
+#include "scenario.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,7 +18,7 @@
 
 /// What all workers of a load run share; constant during the run.
 struct LoadPlan {
-    detail::Scenario scenario;
+    Scenario scenario;
     std::uint64_t seed = 1;
     unsigned workers = 1;
     std::size_t connections = 1; ///< open at once, of all callers together
@@ -39,7 +39,7 @@
 
     /// Sends until the scenario has ended and every request has an outcome.
     void run();
-    const std::vector<detail::RequestRecord> &records() const
+    const std::vector<RequestRecord> &records() const
     {
         return m_records;
     }
@@ -51,8 +51,8 @@
         std::map<std::string, std::unique_ptr<AddressBook>> books; ///< by service
     };
     struct Draft {
-        detail::RequestRecord record;
-        const detail::ScenarioMix *mix = nullptr;
+        RequestRecord record;
+        const ScenarioMix *mix = nullptr;
         Caller *caller = nullptr;
         double runMs = 0;
     };
@@ -63,7 +63,7 @@
     boost::asio::awaitable<void> send(Draft draft);
     boost::asio::awaitable<Exchange> sendDirect(HttpRequest request, Draft &draft, TimePoint limit);
     boost::asio::awaitable<Exchange>
-    sendToFleet(HttpRequest request, Draft &draft, detail::ExpectedAnswer &expected, TimePoint limit);
+    sendToFleet(HttpRequest request, Draft &draft, ExpectedAnswer &expected, TimePoint limit);
 
     const LoadPlan &m_plan;
     unsigned m_index;
@@ -72,7 +72,7 @@
     std::mt19937_64 m_random; ///< everything else
     std::discrete_distribution<std::size_t> m_mixDraw;
     std::vector<Caller> m_callers;
-    std::vector<detail::RequestRecord> m_records;
+    std::vector<RequestRecord> m_records;
     std::uint64_t m_sequence;
 };
 
--- a/src/detail/callcounter.cpp
+++ b/tools/lspar-platform/callcounter.cpp
@@ -1,8 +1,8 @@
-#include "detail/callcounter.h"
+#include "callcounter.h"
 
 #include <algorithm>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 namespace {
 
@@ -61,4 +61,4 @@
     m_secondStart += passed * Second;
 }
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/src/detail/callcounter.h
+++ b/tools/lspar-platform/callcounter.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <string>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 /// Counts calls of the platform stand-in by kind and by second. A second has the calls that started in it and the
 /// watches that were pending when it began.
@@ -36,4 +36,4 @@
     std::uint64_t m_peak = 0;
 };
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/tools/lspar-platform/main.cpp
+++ b/tools/lspar-platform/main.cpp
@@ -49,17 +49,17 @@
     return *endpoint;
 }
 
-void load(const Options &options, platform::PlatformService &service)
+void load(const Options &options, tools::PlatformService &service)
 {
     if (!options.values.empty()) {
-        service.loadValues(platform::readValues(options.values));
+        service.loadValues(tools::readValues(options.values));
     }
     if (!options.instances.empty()) {
-        service.loadInstances(platform::readInstances(options.instances));
+        service.loadInstances(tools::readInstances(options.instances));
     }
 }
 
-asio::awaitable<void> reloadOnSignal(const Options &options, platform::PlatformService &service)
+asio::awaitable<void> reloadOnSignal(const Options &options, tools::PlatformService &service)
 {
     asio::signal_set signals(co_await asio::this_coro::executor, SIGHUP);
     for (;;) {
@@ -76,9 +76,9 @@
 int run(const Options &options)
 {
     asio::io_context context(1);
-    platform::PlatformService service(context.get_executor());
+    tools::PlatformService service(context.get_executor());
     load(options, service);
-    platform::PlatformServer server(context, loopback(options.listen), service);
+    tools::PlatformServer server(context, loopback(options.listen), service);
     asio::signal_set stop(context, SIGINT, SIGTERM);
     stop.async_wait([&context](auto, int) { context.stop(); });
     asio::co_spawn(context, reloadOnSignal(options, service), asio::detached);
--- a/tools/lspar-platform/platformserver.cpp
+++ b/tools/lspar-platform/platformserver.cpp
@@ -6,7 +6,7 @@
 
 #include <boost/beast/core.hpp>
 
-namespace laburnumspar::platform {
+namespace laburnumspar::tools {
 
 namespace {
 
@@ -84,4 +84,4 @@
     }
 }
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::tools
--- a/tools/lspar-platform/platformserver.h
+++ b/tools/lspar-platform/platformserver.h
@@ -3,7 +3,7 @@
 #include "laburnumspar/types.h"
 #include "platformservice.h"
 
-namespace laburnumspar::platform {
+namespace laburnumspar::tools {
 
 /// Accepts HTTP/1.1 connections and serves them with a PlatformService.
 class PlatformServer
@@ -25,4 +25,4 @@
     PlatformService &m_service;
 };
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::tools
--- a/tools/lspar-platform/platformservice.cpp
+++ b/tools/lspar-platform/platformservice.cpp
@@ -11,7 +11,7 @@
 #include <algorithm>
 #include <charconv>
 
-namespace laburnumspar::platform {
+namespace laburnumspar::tools {
 
 namespace {
 
@@ -289,4 +289,4 @@
     return m_frozen ? *m_frozen : m_state;
 }
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::tools
--- a/tools/lspar-platform/platformservice.h
+++ b/tools/lspar-platform/platformservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "detail/callcounter.h"
-#include "detail/platformstate.h"
+#include "callcounter.h"
+#include "platformstate.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
@@ -11,10 +11,7 @@
 #include <optional>
 #include <string>
 
-namespace laburnumspar::platform {
-
-using detail::CallCounter;
-using detail::PlatformState;
+namespace laburnumspar::tools {
 
 using Request = boost::beast::http::request<boost::beast::http::string_body>;
 using Response = boost::beast::http::response<boost::beast::http::string_body>;
@@ -68,4 +65,4 @@
     boost::asio::steady_timer m_changed; ///< never expires; cancelled to wake all that wait
 };
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::tools
--- a/src/detail/platformstate.cpp
+++ b/tools/lspar-platform/platformstate.cpp
@@ -1,8 +1,8 @@
-#include "detail/platformstate.h"
+#include "platformstate.h"
 
 #include "laburnumspar/platformdialect.h"
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 std::uint64_t PlatformState::put(const std::string &path, std::string text)
 {
@@ -45,4 +45,4 @@
     return {{"version", m_instancesVersion}, {"instances", m_instances}};
 }
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/src/detail/platformstate.h
+++ b/tools/lspar-platform/platformstate.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 /// State of the platform stand-in: values and the instance list with their versions. One counter numbers all changes,
 /// so versions only rise.
@@ -42,4 +42,4 @@
     boost::json::array m_instances;
 };
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/tools/lspar-platform/valuefiles.cpp
+++ b/tools/lspar-platform/valuefiles.cpp
@@ -8,7 +8,7 @@
 #include <fstream>
 #include <sstream>
 
-namespace laburnumspar::platform {
+namespace laburnumspar::tools {
 
 namespace {
 
@@ -86,4 +86,4 @@
     return detail::arrayIn(detail::parseObject(text), "instances");
 }
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::tools
--- a/tools/lspar-platform/valuefiles.h
+++ b/tools/lspar-platform/valuefiles.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-namespace laburnumspar::platform {
+namespace laburnumspar::tools {
 
 /// Values by path, from a TOML file of `"path" = "text"` pairs or from a folder tree: the file
 /// teams/shop/services/orders.toml holds the value of /teams/shop/services/orders; hidden files are left out.
@@ -19,4 +19,4 @@
 /// The member "instances" of a JSON text; its elements are served as they are. Throws DecodeError.
 boost::json::array parseInstances(std::string_view text);
 
-} // namespace laburnumspar::platform
+} // namespace laburnumspar::tools
--- a/tools/lspar-upstream/control.cpp
+++ b/tools/lspar-upstream/control.cpp
@@ -1,7 +1,7 @@
 #include "control.h"
 
-#include "detail/query.h"
 #include "laburnumspar/errors.h"
+#include "query.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -18,7 +18,6 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 using asio::ip::tcp;
-using namespace laburnumspar::detail;
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 
--- a/src/detail/query.cpp
+++ b/tools/lspar-upstream/query.cpp
@@ -1,9 +1,9 @@
-#include "detail/query.h"
+#include "query.h"
 
 #include <cmath>
 #include <cstdlib>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 std::string_view targetPath(std::string_view target)
 {
@@ -35,4 +35,4 @@
     return end != text->c_str() && *end == '\0' && std::isfinite(value) ? value : fallback;
 }
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/src/detail/query.h
+++ b/tools/lspar-upstream/query.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace laburnumspar::detail {
+namespace laburnumspar::tools {
 
 /// Path of a request target, without the query.
 std::string_view targetPath(std::string_view target);
@@ -15,4 +15,4 @@
 /// Number in a query parameter, or `fallback` if it is missing or not a number.
 double queryNumber(std::string_view target, std::string_view name, double fallback);
 
-} // namespace laburnumspar::detail
+} // namespace laburnumspar::tools
--- a/tools/lspar-upstream/work.cpp
+++ b/tools/lspar-upstream/work.cpp
@@ -1,7 +1,7 @@
 #include "work.h"
 
 #include "detail/bodydigest.h"
-#include "detail/query.h"
+#include "query.h"
 
 #include <boost/json.hpp>
 
