store follower: old digests are not compared; changes that say nothing new are fetched once

(2) What a pull brings may say nothing new; then the newest change known did not rise, and the same was asked for at each beat of the sender, each 8 ms in a trace. A whole pull now counts as knowing all up to its revision.

Both tests failed before (2 and 49 pulls instead of 0 and 1).

--- a/include/laburnumspar/storemirror.h
+++ b/include/laburnumspar/storemirror.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -30,7 +31,12 @@
     /// `isNews`: the other instances need to know soon.
     Change apply(StoreItem item, bool isNews = true);
 
-    /// Revision of the newest change in the mirror.
+    /// All that changed up to this revision is in the mirror.
+    void noteComplete(std::uint64_t revision)
+    {
+        m_newestChange = std::max(m_newestChange, revision);
+    }
+    /// Revision of the newest change that is known to be in the mirror.
     std::uint64_t newestChange() const
     {
         return m_newestChange;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -190,8 +190,11 @@
 /// over.
 const InstanceStatus *StoreFollower::differingPeer(TimePoint now)
 {
+    const bool active = m_group.self().role == InstanceRole::Active;
     for (const auto &peer : m_peers) {
-        if (peer.role != InstanceRole::Active || peer.storeDigest == m_mirror.digest()
+        // Of instances that do not send their beats here, only an old digest is known.
+        const bool beatsHere = active || peer.zone == m_settings.zone;
+        if (peer.role != InstanceRole::Active || !beatsHere || peer.storeDigest == m_mirror.digest()
             || m_group.ageOf(peer.ip, now) >= PeerFreshness) {
             m_differences.erase(peer.ip);
             continue;
@@ -234,6 +237,8 @@
             applyItem(std::move(item), true, now);
         }
         m_cursor = std::max(m_cursor, changes.revision);
+        // Also where nothing in it was new: otherwise the same would be asked for at each beat of the other instance.
+        m_mirror.noteComplete(changes.revision);
     } catch (const DecodeError &e) {
         logEvent(LogLevel::Error, "group.pull-rejected", {{"from", ip}, {"error", e.what()}});
         co_return false;
--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -85,7 +85,7 @@
     awaitable<HttpResponse> answerPeer()
     {
         ++peerAsked;
-        const auto bytes = encodeChanges({50, {{"servers/i-9", serverText, 50, false}}});
+        const auto bytes = encodeChanges({peerRevision, {{"servers/i-9", serverText, 50, false}}});
         co_return makeResponse(http::status::ok, "application/octet-stream", std::string(bytes.begin(), bytes.end()));
     }
 
@@ -126,6 +126,7 @@
     InstanceGroup group;
     int announced = 0;
     int peerAsked = 0;
+    std::uint64_t peerRevision = 50;
     StoreFollower follower;
 };
 
@@ -235,6 +236,55 @@
     BOOST_TEST(peerAsked == 0);
 }
 
+// Guards against asking for the same changes at each beat: what they say was known already. Incident inc-489f.
+BOOST_FIXTURE_TEST_CASE(changesThatSayNothingNewAreFetchedOnce, Fixture)
+{
+    events = itemOf("i-9", 40);
+    revision = 40;
+    becomeActive();
+    follower.start();
+    BOOST_TEST(runUntil([this] { return board.registry().find("i-9") != nullptr; }));
+    peerRevision = 60;
+    auto status = makeStatus("127.0.0.2");
+    status.role = InstanceRole::Active;
+    status.storeRevision = 60;
+    status.storeDigest = follower.mirror().digest();
+    const auto until = Clock::now() + 1s;
+    runUntil([&] {
+        group.hear(status, Clock::now());
+        follower.notePeer(status, Clock::now());
+        return Clock::now() > until;
+    });
+    BOOST_TEST(peerAsked == 1);
+}
+
+// Guards against comparing with what an instance of another zone knew when it was last heard directly: its beats go to
+// active instances only. Incident inc-489f, 1,077 copies of all entries.
+BOOST_FIXTURE_TEST_CASE(oldDigestsOfOtherZonesAreNotCompared, Fixture)
+{
+    events = itemOf("i-1", 60);
+    revision = 60;
+    auto near = makeStatus("127.0.0.3");
+    near.role = InstanceRole::Active;
+    near.capacity = 900;
+    auto far = makeStatus("127.0.0.2");
+    far.zone = "catania";
+    far.role = InstanceRole::Active;
+    far.storeRevision = 60;
+    far.storeDigest = 12345;
+    follower.start();
+    BOOST_TEST(runUntil([this] { return board.registry().find("i-1") != nullptr; }));
+    const auto until = Clock::now() + 3s;
+    runUntil([&] {
+        near.storeRevision = 60;
+        near.storeDigest = follower.mirror().digest();
+        group.hear(near, Clock::now());
+        group.hear(far, Clock::now());
+        return Clock::now() > until;
+    });
+    BOOST_TEST(peerAsked == 0);
+}
+
 // Guards against two instances at the same revision that know different things while the store goes on changing.
 BOOST_FIXTURE_TEST_CASE(differencesAtTheSameRevisionAreFound, Fixture)
 {
