--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -37,11 +37,15 @@
         : first(context,
                 firstAddress,
                 {},
-                [this](HttpRequest request, CancellationPtr) { return answerAs(firstAnswer, std::move(request)); })
-        , second(context,
-                 secondAddress,
-                 {},
-                 [this](HttpRequest request, CancellationPtr) { return answerAs(secondAnswer, std::move(request)); })
+                [this](HttpRequest request, CancellationPtr cancellation) {
+                    firstCancellation = std::move(cancellation);
+                    return answerAs(firstAnswer, std::move(request), firstDelay);
+                })
+        , second(
+              context,
+              secondAddress,
+              {},
+              [this](HttpRequest request, CancellationPtr) { return answerAs(secondAnswer, std::move(request), 0ms); })
         , forwarder(context, board, headers, metrics)
         , callers(context, callersAddress, forwarder, board, headers)
     {
@@ -58,8 +62,11 @@
         context.run_for(50ms);
     }
 
-    static awaitable<HttpResponse> answerAs(const UpstreamAnswer &answer, HttpRequest request)
+    static awaitable<HttpResponse> answerAs(const UpstreamAnswer &answer, HttpRequest request, Milliseconds delay)
     {
+        if (delay.count() > 0) {
+            co_await sleepFor(delay);
+        }
         co_return answer(request);
     }
 
@@ -100,6 +107,20 @@
         answer = std::move(response);
     }
 
+    /// Sends a request, closes its connection 100 ms later and waits for 500 ms.
+    void askAndLeave()
+    {
+        tcp::socket socket(context);
+        socket.connect(toAsio<tcp>(callersAddress));
+        const std::string text = "GET /pay HTTP/1.1\r\nHost: a.example\r\nX-Id: r2\r\nX-Left: 3000\r\n\r\n";
+        asio::write(socket, asio::buffer(text));
+        context.restart();
+        context.run_for(100ms);
+        socket.close();
+        context.restart();
+        context.run_for(500ms);
+    }
+
     /// Status of the answer; 0 if there was none after a time that no working program needs.
     unsigned askAndWait()
     {
@@ -118,6 +139,8 @@
     ServiceBoard board{"palermo", {}, 1};
     UpstreamAnswer firstAnswer;
     UpstreamAnswer secondAnswer;
+    Milliseconds firstDelay{0};
+    CancellationPtr firstCancellation; ///< of the last request there
     HttpServer first;
     HttpServer second;
     Forwarder forwarder;
@@ -199,3 +222,27 @@
     // The upstream may still send the right one, until the time is over.
     BOOST_TEST(askAndWait() == 504U);
 }
+
+// Guards against an upstream that works on for a caller that has gone.
+BOOST_FIXTURE_TEST_CASE(idempotentWorkIsCancelledWithItsCaller, Fixture)
+{
+    board.applyRoutes(makeTable(true));
+    addUpstream("i-1", firstAddress);
+    firstDelay = 2s;
+    firstAnswer = [](const HttpRequest &request) { return ownAnswerTo(request, http::status::ok); };
+    askAndLeave();
+    BOOST_REQUIRE(firstCancellation);
+    BOOST_TEST(firstCancellation->isCancelled());
+}
+
+// Guards against the opposite for work that must not be repeated: its effect is wanted although nobody waits.
+BOOST_FIXTURE_TEST_CASE(workWithOneChanceGoesOnWithoutItsCaller, Fixture)
+{
+    board.applyRoutes(makeTable(false));
+    addUpstream("i-1", firstAddress);
+    firstDelay = 2s;
+    firstAnswer = [](const HttpRequest &request) { return ownAnswerTo(request, http::status::ok); };
+    askAndLeave();
+    BOOST_REQUIRE(firstCancellation);
+    BOOST_TEST(!firstCancellation->isCancelled());
+}
