upstream pool: one instance explores an upstream, and few are left idle

At the other services every active instance tried every doubtful upstream by itself, about twice a second, which cost up to a quarter of the requests a retry.

Change: each upstream has one explorer among the active instances of its zone. Retryable requests go to doubtful upstreams only as trials of the explorer. If too many upstreams are idle, relative to the healthy ones, idle ones receive trials, by final attempts only where there are no retryable requests. The confirmation interval now needs a success; before, every faulty upstream met it by decay alone.

--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -79,9 +79,18 @@
         double faultProbability = 0;
     };
 
+    /// Whether this instance is the one that finds out about the health of an upstream for all instances.
+    using IsExplorer = std::function<bool(const RegisteredUpstream &)>;
+
     /// `zone`: availability zone of this instance. `seed`: of the random part of the selection.
     UpstreamPool(std::string zone, std::uint64_t seed);
 
+    /// Until this is set, the instance explores all upstreams.
+    void setExplorer(IsExplorer isExplorer)
+    {
+        m_isExplorer = std::move(isExplorer);
+    }
+
     /// Adds or updates an upstream; removes it if it is draining.
     void put(const RegisteredUpstream &entry, TimePoint now);
     void remove(const std::string &id);
@@ -124,7 +133,10 @@
         double fault = 0; ///< probability of a fault at `faultUpdatedAt`, from finished attempts only
         TimePoint faultUpdatedAt;
         TimePoint lastSuccessStart; ///< start of the newest successful attempt
+        TimePoint addedAt;
         TimePoint lastAttempt; ///< start of the last attempt or arrival of the last remote observation; zero if none
+        bool lastSucceeded = false; ///< the newest outcome, of any instance, is a success
+        bool explored = true; ///< this instance finds out about its health for all instances
         TimePoint warmupEnd; ///< responds slowly until then
         TimePoint fullUntil; ///< not selected until then because it had no free slot
         double externalLoad = 0; ///< requests of other instances, at `externalLoadAt`
@@ -141,22 +153,29 @@
     double faultProbability(const Upstream &upstream, TimePoint now) const;
     double externalLoadOf(const Upstream &upstream, TimePoint now) const;
     bool hasFreeSlot(const Upstream &upstream, TimePoint now) const;
+    /// Best upstream for the request and its probability of a fault; null if none has a free slot. Of any health if
+    /// `anyHealth` is set.
+    std::pair<Upstream *, double> selectUpstream(const Request &request, bool anyHealth, TimePoint now);
     bool isTrialDue(const Upstream &upstream, double fault, const Request &request, TimePoint now) const;
-    bool isEligible(const Upstream &upstream, double fault, const Request &request, TimePoint now) const;
+    Milliseconds trialInterval(const Upstream &upstream, double fault) const;
+    bool isIdle(const Upstream &upstream, TimePoint now) const;
     bool hasHealthyUpstream(TimePoint now) const;
-    double selectionCost(const Upstream &upstream, double fault, const Request &request, TimePoint now);
+    double selectionCost(const Upstream &upstream, double fault, const Request &request, bool trialDue, TimePoint now);
     void addEvidence(Upstream &upstream, double logLikelihoodRatio, TimePoint now);
     void updateExternalLoad(Upstream &upstream, const ReportedLoad &load, TimePoint now);
     void updateSlowness(Upstream &upstream, const Attempt &attempt, TimePoint now);
-    void updatePrior(TimePoint now);
+    /// Updates the values that depend on all upstreams, unless they are recent.
+    void updatePoolState(TimePoint now);
 
     std::string m_zone;
     std::mt19937_64 m_random;
     AttemptId m_nextAttempt = 1;
     double m_trialCredit = 0; ///< number of trials that may start
-    double m_faultShare = 0; ///< mean probability of a fault in the pool
     double m_prior; ///< probability of a fault without evidence
-    TimePoint m_priorUpdatedAt;
+    TimePoint m_lastRetryable; ///< start of the last request that could be retried
+    bool m_tooManyIdle = false; ///< too many of the upstreams that this instance explores have no requests
+    IsExplorer m_isExplorer;
+    TimePoint m_stateUpdatedAt;
     std::map<std::string, Upstream> m_upstreams;
     std::map<AttemptId, std::string> m_attempts; ///< identity of the upstream by pending attempt
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/grouplink.h"
 #include "gateway/statedump.h"
 #include "gateway/storefollower.h"
+#include "laburnumspar/explorerassignment.h"
 #include "laburnumspar/log.h"
 #include "net/httpserver.h"
 
@@ -71,6 +72,7 @@
         , adapter(std::move(platformAdapter))
         , serviceRegistry(settings.zone, settings.bounds, std::random_device()())
         , group(initialStatus(settings), {}, Clock::now())
+        , explorers(settings.ip)
         , forwarder(context, serviceRegistry, adapter.headers, metrics)
         , callers(context, settings.callers, forwarder, serviceRegistry, adapter.headers)
         , readiness(context,
@@ -90,6 +92,7 @@
         , signals(context, SIGTERM, SIGINT, SIGHUP)
         , ticker(context)
     {
+        serviceRegistry.setExplorer([this](const RegisteredUpstream &it) { return explorers.isExplorer(it); });
         openMetrics();
     }
 
@@ -118,6 +121,7 @@
     MetricsRegistry metrics;
     ServiceRegistry serviceRegistry;
     InstanceGroup group;
+    ExplorerAssignment explorers;
     Forwarder forwarder;
     CallerServer callers;
     HttpServer readiness;
@@ -331,10 +335,11 @@
         }
         const double cpuSeconds = processCpuSeconds();
         const double used = 1000 * (cpuSeconds - lastCpuSeconds) / elapsed;
+        const auto activeInstances = group.activeInstances("", now);
+        explorers.update(activeInstances);
         // Inactive instances get too few requests to need a retry reserve, but are so many that theirs would add up.
         const bool active = group.self().role == InstanceRole::Active;
-        serviceRegistry.divideRetryReserve(active ? std::optional(group.activeInstances("", now).size())
-                                                  : std::nullopt);
+        serviceRegistry.divideRetryReserve(active ? std::optional(activeInstances.size()) : std::nullopt);
         load += LoadSmoothing * (used - load);
         lastCpuSeconds = cpuSeconds;
         lastLoadAt = now;
--- a/src/gateway/serviceregistry.cpp
+++ b/src/gateway/serviceregistry.cpp
@@ -100,10 +100,19 @@
     if (!service) {
         service = std::make_unique<ServiceState>(name, m_zone, m_bounds, ++m_seed);
         service->budget.setReserve(m_retryReserve);
+        service->pool.setExplorer(m_isExplorer);
     }
     return *service;
 }
 
+void ServiceRegistry::setExplorer(UpstreamPool::IsExplorer isExplorer)
+{
+    m_isExplorer = std::move(isExplorer);
+    for (auto &[name, service] : m_services) {
+        service->pool.setExplorer(m_isExplorer);
+    }
+}
+
 void ServiceRegistry::divideRetryReserve(std::optional<std::size_t> instances)
 {
     m_retryReserve = instances ? instanceReserve(m_bounds, *instances) : 0;
--- a/src/gateway/serviceregistry.h
+++ b/src/gateway/serviceregistry.h
@@ -55,6 +55,8 @@
     {
         return m_services;
     }
+    /// Sets the function that selects the upstreams that this instance explores, for all services.
+    void setExplorer(UpstreamPool::IsExplorer isExplorer);
     /// Sets the retry reserve of each service to this instance's share, given the number of active instances. Without a
     /// value the reserve is 0.
     void divideRetryReserve(std::optional<std::size_t> instances);
@@ -68,6 +70,7 @@
     FleetBounds m_bounds;
     std::uint64_t m_seed;
     unsigned m_retryReserve = 0; ///< retries per service and window in addition to the retry share
+    UpstreamPool::IsExplorer m_isExplorer;
     std::shared_ptr<const RouteTable> m_routes;
     UpstreamRegistry m_upstreams;
     std::map<std::string, std::unique_ptr<ServiceState>> m_services;
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace laburnumspar {
 
@@ -17,42 +18,50 @@
 /// attempts prefer upstreams that have already responded.
 constexpr double InitialFault = 0.25;
 constexpr double MaxPrior = 0.35;
-constexpr Milliseconds PriorUpdateInterval{500};
+/// Interval at which the values that depend on all upstreams are updated.
+constexpr Milliseconds StateUpdateInterval{200};
 /// Bounds of the probability of a fault, so that new evidence changes it soon.
 constexpr double MinFault = 0.002;
 constexpr double MaxFault = 0.98;
-/// Above this probability, an upstream counts as faulty and receives trials only, unless no upstream is healthy.
+/// Above this probability, an upstream counts as faulty.
 constexpr double FaultyThreshold = 0.5;
-/// The same threshold for final attempts. It is lower because waiting for a slot of another upstream is better.
+/// Above this probability, an upstream receives retryable requests only as trials.
+constexpr double DoubtfulThreshold = 0.15;
+/// Final attempts go to upstreams above this probability only as trials. It is lower than FaultyThreshold because
+/// waiting for a slot of another upstream is better.
 constexpr double FinalAttemptFaultyThreshold = 0.4;
 /// Weight of the evidence of other instances. It is below 1 because the fault may be in their network path.
 constexpr double RemoteEvidenceWeight = 0.5;
 /// Evidence of a refused connection, as log likelihood ratio. It is stronger than that of a failed request.
 constexpr double UnreachableEvidence = 4.5;
-/// Minimum time between trials of a faulty upstream.
-constexpr Milliseconds TrialInterval{1200};
-/// Trials per request. Each trial may cost a retry, so the share is small. It grows when the mean probability of a
-/// fault exceeds TypicalFaultShare, since upstreams that have recovered are then needed.
-constexpr double MinTrialShare = 0.08;
-constexpr double TypicalFaultShare = 0.35;
-constexpr double TrialShareGrowth = 0.25;
+/// Time without an attempt of any instance after which an upstream receives a trial: one that is doubtful, one that is
+/// faulty, and one whose newest attempt has succeeded although it is doubtful.
+constexpr Milliseconds DoubtfulTrialInterval{1400};
+constexpr Milliseconds FaultyTrialInterval{3000};
+constexpr Milliseconds ConfirmationInterval{500};
+/// An upstream without an attempt of any instance for this time counts as idle.
+constexpr Milliseconds IdleTime{1600};
+/// If more upstreams are idle than this share of the healthy ones, idle ones receive trials whatever their health.
+/// Whether they are healthy shows only then.
+constexpr double MaxIdleShare = 0.4;
+/// Time without retryable requests after which final attempts serve as trials.
+constexpr Milliseconds RetryableTimeout{1000};
+/// Trials per request. Each trial may cost a retry or a request, so the share is small.
+constexpr double TrialShare = 0.2;
 constexpr double MaxTrialCredit = 3;
-/// Minimum time between trials once the probability of a fault is below ConfirmationThreshold, as after a first
-/// successful trial.
-constexpr Milliseconds ConfirmationInterval{600};
-constexpr double ConfirmationThreshold = 0.9;
 /// Time for which an upstream that refused a request as full is not selected.
 constexpr Milliseconds FullBackoff{80};
 /// Half-life of the reported external load.
 constexpr double ExternalLoadHalfLifeSeconds = 0.5;
 /// Components of the selection cost. A cost of 1 corresponds to an upstream whose slots are all taken.
 constexpr double OtherZoneCost = 1.1;
-constexpr double FaultCost = 1.5;
+constexpr double FaultCost = 6;
 constexpr double FinalAttemptFaultCost = 30;
 /// The cost falls with the time since the last attempt, so that an upstream of uncertain health that has been idle for
 /// 2 s costs less than a busy healthy one.
 constexpr double MaxIdleSeconds = 4;
 constexpr double IdleBonusPerSecond = 0.4;
+constexpr double TrialBonus = 6;
 constexpr double MaxTrialWaitSeconds = 10;
 constexpr double TrialBonusPerSecond = 0.2;
 constexpr double WarmupCost = 0.3;
@@ -111,6 +120,7 @@
         upstream.fault = std::max(m_prior, InitialFault);
         upstream.faultUpdatedAt = now;
         upstream.lastSuccessStart = now;
+        upstream.addedAt = now;
     }
     upstream.entry = entry;
 }
@@ -129,41 +139,54 @@
 
 std::optional<UpstreamPool::Choice> UpstreamPool::startAttempt(const Request &request, TimePoint now)
 {
+    updatePoolState(now);
+    if (!request.finalAttempt && request.allowTrial) {
+        m_lastRetryable = now;
+    }
+    m_trialCredit = std::min(m_trialCredit + TrialShare, MaxTrialCredit);
+    auto [upstream, fault] = selectUpstream(request, false, now);
+    if (upstream == nullptr && !hasHealthyUpstream(now)) {
+        std::tie(upstream, fault) = selectUpstream(request, true, now);
+    }
+    if (upstream == nullptr) {
+        return std::nullopt;
+    }
+    if (isTrialDue(*upstream, fault, request, now)) {
+        m_trialCredit = std::max(0.0, m_trialCredit - 1);
+        upstream->trialPending = true;
+    }
+    const auto attempt = m_nextAttempt++;
+    upstream->inFlight.push_back({attempt, now, request.latency});
+    upstream->lastAttempt = now;
+    m_attempts.emplace(attempt, upstream->entry.id);
+    return Choice{attempt, upstream->entry, fault};
+}
+
+std::pair<UpstreamPool::Upstream *, double>
+UpstreamPool::selectUpstream(const Request &request, bool anyHealth, TimePoint now)
+{
+    const double threshold = request.finalAttempt ? FinalAttemptFaultyThreshold : FaultyThreshold;
     Upstream *best = nullptr;
     double bestCost = 0;
     double bestFault = 0;
-    updatePrior(now);
-    const bool noneHealthy = !hasHealthyUpstream(now);
-    const double trialShare = MinTrialShare + TrialShareGrowth * std::max(0.0, m_faultShare - TypicalFaultShare);
-    m_trialCredit = std::min(m_trialCredit + trialShare, MaxTrialCredit);
     for (auto &[id, upstream] : m_upstreams) {
         if (!hasFreeSlot(upstream, now)
             || std::find(request.exclude.begin(), request.exclude.end(), id) != request.exclude.end()) {
             continue;
         }
         const double fault = faultProbability(upstream, now);
-        if (!noneHealthy && !isEligible(upstream, fault, request, now)) {
+        const bool trialDue = isTrialDue(upstream, fault, request, now);
+        if (!anyHealth && fault > threshold && !trialDue) {
             continue;
         }
-        const double cost = selectionCost(upstream, fault, request, now);
+        const double cost = selectionCost(upstream, fault, request, trialDue, now);
         if (best == nullptr || cost < bestCost) {
             best = &upstream;
             bestCost = cost;
             bestFault = fault;
         }
     }
-    if (best == nullptr) {
-        return std::nullopt;
-    }
-    const auto attempt = m_nextAttempt++;
-    best->inFlight.push_back({attempt, now, request.latency});
-    best->lastAttempt = now;
-    if (bestFault > FaultyThreshold) {
-        m_trialCredit = std::max(0.0, m_trialCredit - 1);
-        best->trialPending = true;
-    }
-    m_attempts.emplace(attempt, best->entry.id);
-    return Choice{attempt, best->entry, bestFault};
+    return {best, bestFault};
 }
 
 void UpstreamPool::finishAttempt(AttemptId id,
@@ -184,6 +207,7 @@
     upstream.inFlight.erase(it);
     switch (outcome) {
     case AttemptOutcome::Success:
+        upstream.lastSucceeded = true;
         addEvidence(upstream, successEvidence, now);
         for (auto &other : upstream.inFlight) {
             other.superseded = other.superseded || other.started < attempt.started;
@@ -198,6 +222,7 @@
         if (attempt.superseded) {
             break;
         }
+        upstream.lastSucceeded = false;
         addEvidence(upstream, failureEvidence, now);
         ++upstream.pendingObservation.failures;
         break;
@@ -230,6 +255,9 @@
     if (observation.successes > 0) {
         upstream.lastSuccessStart = std::max(upstream.lastSuccessStart, now - observation.successAge);
     }
+    if (observation.successes + observation.failures > 0) {
+        upstream.lastSucceeded = observation.failures == 0;
+    }
     addEvidence(upstream, RemoteEvidenceWeight * evidence, now);
     upstream.lastAttempt = now;
 }
@@ -316,7 +344,8 @@
         && double(upstream.inFlight.size()) + externalLoadOf(upstream, now) + 0.5 < double(upstream.entry.slots);
 }
 
-double UpstreamPool::selectionCost(const Upstream &upstream, double fault, const Request &request, TimePoint now)
+double UpstreamPool::selectionCost(
+    const Upstream &upstream, double fault, const Request &request, bool trialDue, TimePoint now)
 {
     const double slots = std::max(1.0, double(upstream.entry.slots));
     double cost = (double(upstream.inFlight.size()) + externalLoadOf(upstream, now)) / slots;
@@ -324,39 +353,50 @@
     cost += upstream.entry.zone == m_zone ? 0 : OtherZoneCost;
     cost += now < upstream.warmupEnd ? WarmupCost : 0;
     cost += SlownessWeight * std::max(0.0, upstream.slowness - 1);
+    if (trialDue) {
+        // Trials go first to the upstream whose last attempt is the longest ago; of those that may lose a request, to
+        // the one that is most likely healthy.
+        const double waited = std::min(seconds(now - upstream.lastAttempt), MaxTrialWaitSeconds);
+        return cost - TrialBonus - waited * TrialBonusPerSecond + (request.finalAttempt ? FaultCost * fault : 0);
+    }
     if (request.finalAttempt) {
         return cost + FinalAttemptFaultCost * fault;
     }
-    if (!isTrialDue(upstream, fault, request, now)) {
-        // Requests that can be retried are spread over all upstreams, so that no healthy one stays idle.
-        const double idle = std::min(seconds(now - upstream.lastAttempt), MaxIdleSeconds);
-        return cost + FaultCost * fault - idle * IdleBonusPerSecond;
+    if (fault > DoubtfulThreshold) {
+        return cost + FaultCost * fault;
     }
-    // Trials go first to the upstream whose last attempt is the longest ago.
-    const double waited = std::min(seconds(now - upstream.lastAttempt), MaxTrialWaitSeconds);
-    return cost - FaultCost - waited * TrialBonusPerSecond;
+    // Requests that can be retried are spread over all healthy upstreams, so that none of them stays idle.
+    const double idle = std::min(seconds(now - upstream.lastAttempt), MaxIdleSeconds);
+    return cost + FaultCost * fault - idle * IdleBonusPerSecond;
 }
 
-/// A new upstream receives a request at once, and a faulty one receives trials from time to time, to detect whether it
-/// has recovered.
+/// Whether the request should be sent to the upstream to find out about its health. One instance does so for all, since
+/// each failed trial costs a retry or a request. Final attempts are used only if too many upstreams are idle and there
+/// are no retryable requests.
 bool UpstreamPool::isTrialDue(const Upstream &upstream, double fault, const Request &request, TimePoint now) const
 {
-    if (upstream.lastAttempt == TimePoint()) {
-        return true;
-    }
-    if (!request.allowTrial || m_trialCredit < 1) {
+    if (!upstream.explored || m_trialCredit < 1 || (!request.finalAttempt && !request.allowTrial)) {
         return false;
     }
-    const auto interval = fault < ConfirmationThreshold ? ConfirmationInterval : TrialInterval;
-    return fault > FaultyThreshold && now - upstream.lastAttempt > interval;
+    const bool usable = !request.finalAttempt || now - m_lastRetryable > RetryableTimeout;
+    if (m_tooManyIdle && usable && isIdle(upstream, now)) {
+        return true;
+    }
+    return !request.finalAttempt && fault > DoubtfulThreshold
+        && now - upstream.lastAttempt > trialInterval(upstream, fault);
 }
 
-bool UpstreamPool::isEligible(const Upstream &upstream, double fault, const Request &request, TimePoint now) const
+bool UpstreamPool::isIdle(const Upstream &upstream, TimePoint now) const
 {
-    if (request.finalAttempt) {
-        return fault <= FinalAttemptFaultyThreshold;
+    return now - std::max(upstream.lastAttempt, upstream.addedAt) > IdleTime;
+}
+
+Milliseconds UpstreamPool::trialInterval(const Upstream &upstream, double fault) const
+{
+    if (upstream.lastSucceeded) {
+        return ConfirmationInterval;
     }
-    return fault <= FaultyThreshold || isTrialDue(upstream, fault, request, now);
+    return fault > FaultyThreshold ? FaultyTrialInterval : DoubtfulTrialInterval;
 }
 
 bool UpstreamPool::hasHealthyUpstream(TimePoint now) const
@@ -372,18 +412,24 @@
     upstream.faultUpdatedAt = now;
 }
 
-void UpstreamPool::updatePrior(TimePoint now)
+void UpstreamPool::updatePoolState(TimePoint now)
 {
-    if (now - m_priorUpdatedAt < PriorUpdateInterval || m_upstreams.empty()) {
+    if (now - m_stateUpdatedAt < StateUpdateInterval || m_upstreams.empty()) {
         return;
     }
     double sum = 0;
-    for (const auto &[id, upstream] : m_upstreams) {
-        sum += faultProbabilityFromFinished(upstream, now);
+    std::size_t healthy = 0;
+    std::size_t idle = 0;
+    for (auto &[id, upstream] : m_upstreams) {
+        const double fault = faultProbabilityFromFinished(upstream, now);
+        sum += fault;
+        upstream.explored = !m_isExplorer || m_isExplorer(upstream.entry);
+        healthy += upstream.explored && fault <= FaultyThreshold ? 1 : 0;
+        idle += upstream.explored && isIdle(upstream, now) ? 1 : 0;
     }
-    m_faultShare = sum / double(m_upstreams.size());
-    m_prior = std::clamp(m_faultShare, MinPrior, MaxPrior);
-    m_priorUpdatedAt = now;
+    m_tooManyIdle = double(idle) > MaxIdleShare * double(healthy);
+    m_prior = std::clamp(sum / double(m_upstreams.size()), MinPrior, MaxPrior);
+    m_stateUpdatedAt = now;
 }
 
 void UpstreamPool::updateExternalLoad(Upstream &upstream, const ReportedLoad &load, TimePoint now)
