--- a/include/laburnumspar/gateway.h
+++ b/include/laburnumspar/gateway.h
@@ -50,6 +50,7 @@
     Endpoint store; ///< the operators' store
     bool fleetStart = false; ///< the whole fleet is started for the first time
     std::uint16_t capacity = 1000; ///< CPU quota of this instance, in thousandths of a core
+    std::size_t memoryBytes = 256 << 20; ///< memory that this instance may use
     FleetBounds bounds;
     std::string logLevel = "info";
 };
--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -64,6 +64,9 @@
         Milliseconds successAge{0}; ///< time since the newest successful attempt started
     };
 
+    /// Availability zone of an upstream; empty if it is unknown.
+    std::string zoneOf(const std::string &id) const;
+
     /// Upstream that was selected for an attempt.
     struct Choice {
         AttemptId attempt = 0;
--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -17,6 +17,10 @@
 /// has started to listen.
 constexpr Milliseconds RoutesTimeout{800};
 constexpr Milliseconds RoutesPollInterval{50};
+/// Retry-After for a request whose body does not fit into the memory.
+constexpr Milliseconds MemoryRetryAfter{500};
+/// Unparsed data of a request beyond the header. Chunk headers have to fit, which otherwise could grow without end.
+constexpr std::size_t MaxUnparsedBytes = 128 << 10;
 
 bool closedByPeer(tcp::socket &socket)
 {
@@ -32,7 +36,9 @@
     Forwarder &forwarder;
     const ServiceRegistry &serviceRegistry;
     const ForwardingHeaders &headers;
-    std::set<Session *> sessions;
+    std::size_t maxBodyBytes;
+    std::size_t pendingBodyBytes = 0;
+    std::set<Session *> sessions{};
     bool closing = false;
     bool refusing = false;
 
@@ -55,6 +61,7 @@
     }
     ~Session()
     {
+        releasePendingBytes();
         m_state->sessions.erase(this);
     }
     Session(const Session &) = delete;
@@ -86,7 +93,8 @@
 
     bool hasRequest() const
     {
-        return m_phase == Phase::Reading || m_phase == Phase::Waiting || m_phase == Phase::Writing;
+        return m_phase == Phase::Reading || m_phase == Phase::Waiting || m_phase == Phase::Writing
+            || (m_phase == Phase::Idle && hasUnreadData());
     }
 
 private:
@@ -98,6 +106,12 @@
         Closed,
     };
 
+    bool hasUnreadData() const
+    {
+        error_code ec;
+        return m_socket.available(ec) > 0 && !ec;
+    }
+
     void armIdleTimer()
     {
         m_timer.expires_at(m_idleSince + m_state->limits().idleTimeout + IdleMargin);
@@ -166,17 +180,44 @@
                 self->refuse(http::status::request_timeout, "body not received in time");
             }
         });
-        http::async_read(m_socket, m_buf, *m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
-            if (self->m_phase != Phase::Reading) {
-                return;
+        readBodyPart();
+    }
+
+    void readBodyPart()
+    {
+        http::async_read_some(m_socket, m_buf, *m_parser, [self = shared_from_this()](error_code ec, std::size_t n) {
+            if (self->m_phase == Phase::Reading) {
+                self->onBodyPart(ec, n);
             }
-            self->m_timer.cancel();
-            ec ? self->refuseBadInput(ec) : self->onMessage();
         });
     }
 
+    void onBodyPart(error_code ec, std::size_t n)
+    {
+        m_pendingBytes += n;
+        m_state->pendingBodyBytes += n;
+        if (ec) {
+            m_timer.cancel();
+            refuseBadInput(ec);
+        } else if (m_parser->is_done()) {
+            m_timer.cancel();
+            onMessage();
+        } else if (m_state->pendingBodyBytes > m_state->maxBodyBytes) {
+            m_timer.cancel();
+            refuse(http::status::service_unavailable, "no memory for the body", MemoryRetryAfter);
+        } else {
+            readBodyPart();
+        }
+    }
+
+    void releasePendingBytes()
+    {
+        m_state->pendingBodyBytes -= std::exchange(m_pendingBytes, 0);
+    }
+
     void onMessage()
     {
+        releasePendingBytes();
         m_phase = Phase::Waiting;
         auto message = m_parser->release();
         m_keepAlive = message.keep_alive();
@@ -271,11 +312,12 @@
               true);
     }
 
-    void refuse(http::status status, std::string_view detail)
+    void refuse(http::status status, std::string_view detail, Milliseconds retryAfter = Milliseconds(0))
     {
         if (m_phase != Phase::Reading) {
             return;
         }
+        releasePendingBytes();
         const auto &partial = m_parser->get();
         const auto id = partial[m_state->headers.requestId];
         logEvent(
@@ -283,7 +325,7 @@
             "request.refused",
             {{"request", std::string_view(id.data(), id.size())}, {"status", unsigned(status)}, {"reason", detail}});
         m_headOnly = false;
-        write(makeLocalAnswer(status, detail, {id.data(), id.size()}, m_state->headers, Milliseconds(0)), true);
+        write(makeLocalAnswer(status, detail, {id.data(), id.size()}, m_state->headers, retryAfter), true);
     }
 
     void refuseBadInput(error_code ec)
@@ -312,8 +354,9 @@
     std::shared_ptr<State> m_state;
     tcp::socket m_socket;
     asio::steady_timer m_timer;
-    beast::flat_buffer m_buf;
+    beast::flat_buffer m_buf{MaxUnparsedBytes};
     std::optional<http::request_parser<http::string_body>> m_parser;
+    std::size_t m_pendingBytes = 0; ///< part of State::pendingBodyBytes
     ForwardedRequest m_request;
     std::shared_ptr<Forwarding> m_forwarding;
     std::string m_head;
@@ -330,8 +373,9 @@
                            const Endpoint &endpoint,
                            Forwarder &forwarder,
                            const ServiceRegistry &serviceRegistry,
-                           const ForwardingHeaders &headers)
-    : m_state(std::make_shared<State>(State{context, forwarder, serviceRegistry, headers, {}, false, false}))
+                           const ForwardingHeaders &headers,
+                           std::size_t maxBodyBytes)
+    : m_state(std::make_shared<State>(State{context, forwarder, serviceRegistry, headers, maxBodyBytes}))
     , m_listener(context, endpoint, [state = m_state](tcp::socket socket) {
         if (state->sessions.size() < MaxConnections) {
             std::make_shared<Session>(state, std::move(socket))->waitForRequest();
@@ -359,6 +403,13 @@
     m_state->refusing = true;
 }
 
+void CallerServer::finishAccepting()
+{
+    refuseRequests();
+    startClosing();
+    m_listener.finish();
+}
+
 void CallerServer::close()
 {
     m_state->closing = true;
--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -12,12 +12,14 @@
 class CallerServer
 {
 public:
-    /// Binds the listening socket. Throws TransportError if the address is in use.
+    /// Binds the listening socket. `maxBodyBytes`: memory for bodies that have not arrived completely; requests that
+    /// exceed it are refused. Throws TransportError if the address is in use.
     CallerServer(asio::io_context &context,
                  const Endpoint &endpoint,
                  Forwarder &forwarder,
                  const ServiceRegistry &serviceRegistry,
-                 const ForwardingHeaders &headers);
+                 const ForwardingHeaders &headers,
+                 std::size_t maxBodyBytes);
     ~CallerServer();
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
@@ -28,6 +30,9 @@
     void startClosing();
     /// From now on, new requests are refused as not run. Requests that have already been read are still answered.
     void refuseRequests();
+    /// Accepts the connections that are waiting, then no others. Requests that have arrived on idle connections are
+    /// read and refused.
+    void finishAccepting();
     /// Stops accepting connections and closes the idle ones.
     void close();
     /// Number of open connections.
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -16,12 +16,13 @@
 Forwarder::Forwarder(asio::io_context &context,
                      ServiceRegistry &serviceRegistry,
                      const ForwardingHeaders &headers,
-                     MetricsRegistry &metrics)
+                     MetricsRegistry &metrics,
+                     std::size_t maxAnswerBytes)
     : m_context(context)
     , m_serviceRegistry(serviceRegistry)
     , m_headers(headers)
     , m_metrics(metrics)
-    , m_connections(context, headers)
+    , m_connections(context, headers, maxAnswerBytes)
 {
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -19,10 +19,12 @@
 public:
     using Handler = std::function<void(CallerAnswer)>;
 
+    /// `maxAnswerBytes`: memory for answers that have not arrived completely.
     Forwarder(asio::io_context &context,
               ServiceRegistry &serviceRegistry,
               const ForwardingHeaders &headers,
-              MetricsRegistry &metrics);
+              MetricsRegistry &metrics,
+              std::size_t maxAnswerBytes);
     ~Forwarder();
     Forwarder(const Forwarder &) = delete;
     Forwarder &operator=(const Forwarder &) = delete;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "laburnumspar/gateway.h"
 
 #include "gateway/callerserver.h"
+#include "gateway/compression.h"
 #include "gateway/grouplink.h"
 #include "gateway/statedump.h"
 #include "gateway/storefollower.h"
@@ -36,6 +37,12 @@
 constexpr Milliseconds LoadInterval{1000};
 /// Weight of the newest value in the exponential moving average of the load.
 constexpr double LoadSmoothing = 0.4;
+/// The memory divided by this may be used for answers, and for bodies of requests, that have not arrived completely. A
+/// string that grows needs up to three times its size for a moment.
+constexpr std::size_t MemoryPerPendingAnswers = 8;
+constexpr std::size_t MemoryPerPendingBodies = 8;
+/// Smaller messages to other instances are not compressed.
+constexpr std::size_t MinCompressedBytes = 2000;
 
 std::uint64_t newIncarnation()
 {
@@ -73,8 +80,13 @@
         , serviceRegistry(settings.zone, settings.bounds, std::random_device()())
         , group(initialStatus(settings), {}, Clock::now())
         , explorers(settings.ip)
-        , forwarder(context, serviceRegistry, adapter.headers, metrics)
-        , callers(context, settings.callers, forwarder, serviceRegistry, adapter.headers)
+        , forwarder(context, serviceRegistry, adapter.headers, metrics, settings.memoryBytes / MemoryPerPendingAnswers)
+        , callers(context,
+                  settings.callers,
+                  forwarder,
+                  serviceRegistry,
+                  adapter.headers,
+                  settings.memoryBytes / MemoryPerPendingBodies)
         , readiness(context,
                     settings.readiness,
                     {},
@@ -133,6 +145,7 @@
     asio::signal_set signals;
     asio::steady_timer ticker;
     std::optional<TimePoint> stopRequestedAt;
+    bool finishing = false; ///< no connections are accepted any more
     bool hadTraffic = false; ///< whether the instance was active or had callers when the stop was requested
     double load = 0; ///< smoothed CPU usage, in thousandths of a core
     double lastCpuSeconds = processCpuSeconds();
@@ -165,6 +178,7 @@
                       {"active", group.activeInstances(settings.zone, now).size()},
                       {"wanted", group.targetActiveCount(now)},
                       {"load", load}});
+            divideWork(now);
             follower.wake();
         };
         return hooks;
@@ -181,7 +195,8 @@
                              "upstream.failing",
                              {{"upstream", it.id}, {"failures", it.failures}, {"successes", it.successes}});
                 }
-                result.push_back({serviceName, std::move(it)});
+                auto zone = service->pool.zoneOf(it.id);
+                result.push_back({serviceName, std::move(it), std::move(zone)});
             }
         }
         return result;
@@ -225,10 +240,22 @@
             co_return makeResponse(http::status::not_found, "text/plain", "unknown target\n");
         }
         std::uint64_t after = 0;
-        std::from_chars(target.data() + ChangesTarget.size(), target.data() + target.size(), after);
+        const auto *end = target.data() + target.size();
+        if (const auto [ptr, ec] = std::from_chars(target.data() + ChangesTarget.size(), end, after);
+            ec != std::errc() || ptr != end) {
+            co_return makeResponse(http::status::bad_request, "text/plain", "invalid revision\n");
+        }
         const auto &mirror = follower.mirror();
         const auto bytes = encodeChanges({mirror.newestRevision(), mirror.changesAfter(after)});
-        co_return makeResponse(http::status::ok, "application/octet-stream", std::string(bytes.begin(), bytes.end()));
+        std::string body(bytes.begin(), bytes.end());
+        const bool compressed
+            = body.size() > MinCompressedBytes && request[http::field::accept_encoding] == CompressedEncoding;
+        auto response
+            = makeResponse(http::status::ok, "application/octet-stream", compressed ? compress(body) : std::move(body));
+        if (compressed) {
+            response.set(http::field::content_encoding, CompressedEncoding);
+        }
+        co_return response;
     }
 
     void openMetrics()
@@ -303,8 +330,21 @@
         callers.startClosing();
     }
 
+    void scheduleTick()
+    {
+        const bool standby = group.self().role == InstanceRole::Standby && forwarder.inFlight() == 0;
+        ticker.expires_after(standby ? StandbyTickInterval : TickInterval);
+        ticker.async_wait([this](error_code ec) {
+            if (!ec) {
+                tick();
+            }
+        });
+    }
+
     void tick()
     {
+        // First, so that an exception does not end the ticks.
+        scheduleTick();
         const auto now = Clock::now();
         measureLoad(now);
         link.tick(now);
@@ -316,15 +356,11 @@
         }
         if (stopRequestedAt && canExit(now)) {
             shutDown();
-            return;
+        } else if (stopRequestedAt && !finishing && hasStopped(now)) {
+            // The next ticks read and refuse what has arrived meanwhile.
+            finishing = true;
+            callers.finishAccepting();
         }
-        const bool standby = group.self().role == InstanceRole::Standby && forwarder.inFlight() == 0;
-        ticker.expires_after(standby ? StandbyTickInterval : TickInterval);
-        ticker.async_wait([this](error_code ec) {
-            if (!ec) {
-                tick();
-            }
-        });
     }
 
     void measureLoad(TimePoint now)
@@ -335,24 +371,32 @@
         }
         const double cpuSeconds = processCpuSeconds();
         const double used = 1000 * (cpuSeconds - lastCpuSeconds) / elapsed;
+        divideWork(now);
+        load += LoadSmoothing * (used - load);
+        lastCpuSeconds = cpuSeconds;
+        lastLoadAt = now;
+    }
+
+    /// Divides what active instances share: the exploration of upstreams and the reserve of the retry budget.
+    void divideWork(TimePoint now)
+    {
         const auto activeInstances = group.activeInstances("", now);
         explorers.update(activeInstances);
         // Inactive instances get too few requests to need a retry reserve, but are so many that theirs would add up.
         const bool active = group.self().role == InstanceRole::Active;
         serviceRegistry.divideRetryReserve(active ? std::optional(activeInstances.size()) : std::nullopt);
-        load += LoadSmoothing * (used - load);
-        lastCpuSeconds = cpuSeconds;
-        lastLoadAt = now;
     }
 
-    bool canExit(TimePoint now) const
+    /// Whether the instance has served for as long as callers use its address, and has nothing left to do.
+    bool hasStopped(TimePoint now) const
     {
-        const auto elapsed = now - *stopRequestedAt;
-        if (elapsed >= settings.bounds.graceTime - StopMargin) {
-            return true;
-        }
         const auto minStopTime = hadTraffic ? MaxAddressLifetimes * AddressLifetime : IdleStopTime;
-        return elapsed >= minStopTime && callers.activeRequests() == 0 && forwarder.inFlight() == 0;
+        return now - *stopRequestedAt >= minStopTime && callers.activeRequests() == 0 && forwarder.inFlight() == 0;
+    }
+
+    bool canExit(TimePoint now) const
+    {
+        return now - *stopRequestedAt >= settings.bounds.graceTime - StopMargin || (finishing && hasStopped(now));
     }
 
     void shutDown()
@@ -376,7 +420,17 @@
 {
     m_d->onReload = std::move(onReload);
     m_d->start();
-    m_d->context.run();
+    for (;;) {
+        try {
+            m_d->context.run();
+            return;
+        } catch (const InvariantError &) {
+            throw;
+        } catch (const std::exception &e) {
+            // An unexpected error ends the connection or message that caused it, not the process.
+            logEvent(LogLevel::Error, "handler.failed", {{"error", e.what()}});
+        }
+    }
 }
 
 } // namespace laburnumspar
--- a/src/gateway/grouplink.cpp
+++ b/src/gateway/grouplink.cpp
@@ -4,6 +4,7 @@
 #include "laburnumspar/log.h"
 
 #include <algorithm>
+#include <map>
 
 namespace laburnumspar::detail {
 
@@ -77,7 +78,9 @@
         if (heartbeat.replyRequested) {
             send(encodeHeartbeat(makeHeartbeat(now, false), m_settings.zones), heartbeat.sender.ip);
         }
-    } catch (const DecodeError &e) {
+    } catch (const InvariantError &) {
+        throw;
+    } catch (const std::exception &e) {
         ++m_rejected;
         logEvent(LogLevel::Warning,
                  "group.datagram-rejected",
@@ -137,7 +140,29 @@
 /// has seen fail.
 void GroupLink::sendObservations(TimePoint now)
 {
-    auto observations = m_hooks.takeObservations();
+    std::map<std::string, std::vector<std::string>> receivers; // addresses by zone
+    std::vector<std::string> zones;
+    for (const auto &it : m_group.activeInstances("", now)) {
+        if (it.ip == m_settings.ip) {
+            continue;
+        }
+        auto &ofZone = receivers[it.zone];
+        if (ofZone.empty()) {
+            zones.push_back(it.zone);
+        }
+        ofZone.push_back(it.ip);
+    }
+    for (const auto &it : m_hooks.takeObservations()) {
+        m_observations.add(it, zones, now);
+    }
+    for (const auto &[zone, addresses] : receivers) {
+        sendObservationsTo(addresses, m_observations.takeDue(zone, now));
+    }
+}
+
+void GroupLink::sendObservationsTo(const std::vector<std::string> &addresses,
+                                   const std::vector<UpstreamObservation> &observations)
+{
     for (std::size_t from = 0; from < observations.size(); from += MaxObservations) {
         GroupHeartbeat heartbeat;
         m_hooks.fillStatus(m_group.self());
@@ -145,10 +170,8 @@
         const auto to = std::min(from + MaxObservations, observations.size());
         heartbeat.observations.assign(observations.begin() + long(from), observations.begin() + long(to));
         const auto bytes = encodeHeartbeat(heartbeat, m_settings.zones);
-        for (const auto &it : m_group.activeInstances("", now)) {
-            if (it.ip != m_settings.ip) {
-                send(bytes, it.ip);
-            }
+        for (const auto &ip : addresses) {
+            send(bytes, ip);
         }
     }
 }
--- a/src/gateway/grouplink.h
+++ b/src/gateway/grouplink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/groupmessages.h"
+#include "gateway/observationbuffer.h"
 #include "laburnumspar/gateway.h"
 #include "net/io.h"
 
@@ -41,6 +42,8 @@
     GroupHeartbeat makeHeartbeat(TimePoint now, bool replyRequested);
     void sendHeartbeats(TimePoint now);
     void sendObservations(TimePoint now);
+    void sendObservationsTo(const std::vector<std::string> &addresses,
+                            const std::vector<UpstreamObservation> &observations);
     void requestStatus(TimePoint now);
 
     const GatewaySettings &m_settings;
@@ -49,6 +52,7 @@
     udp::socket m_socket;
     udp::endpoint m_from;
     std::array<std::uint8_t, 2048> m_buf{};
+    ObservationBuffer m_observations;
     TimePoint m_lastHeartbeat;
     TimePoint m_lastObservationsSent;
     TimePoint m_lastStatusRequest;
--- a/src/gateway/groupmessages.h
+++ b/src/gateway/groupmessages.h
@@ -23,6 +23,7 @@
 struct UpstreamObservation {
     std::string service;
     UpstreamPool::Observation counts;
+    std::string zone{}; ///< of the upstream; not sent
 };
 
 /// Datagram that instances exchange.
--- a/src/gateway/httpchannel.cpp
+++ b/src/gateway/httpchannel.cpp
@@ -1,30 +1,46 @@
 #include "gateway/httpchannel.h"
 
+#include <sys/socket.h>
+
 namespace laburnumspar::detail {
 
 namespace {
 
 constexpr std::uint64_t MaxReplyBytes = 16 << 20;
+/// Unparsed data of a reply. Heads and chunk headers have to fit.
+constexpr std::size_t MaxUnparsedBytes = 128 << 10;
 
 } // namespace
 
-HttpChannel::HttpChannel(asio::io_context &context, Endpoint server)
+HttpChannel::HttpChannel(asio::io_context &context, Endpoint server, std::string acceptedEncoding)
     : m_context(context)
     , m_server(std::move(server))
+    , m_acceptedEncoding(std::move(acceptedEncoding))
+    , m_buf(MaxUnparsedBytes)
+{
+}
+
+/// Whether nothing has arrived since the last answer. What has would be taken for the answer to the next request.
+bool HttpChannel::isReusable()
 {
+    if (m_stream == nullptr || m_buf.size() > 0) {
+        return false;
+    }
+    char byte = 0;
+    const auto n = ::recv(m_stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 awaitable<ChannelReply> HttpChannel::get(const std::string &target, Milliseconds timeout)
 {
-    const bool connected = m_stream != nullptr;
-    if (!connected) {
+    if (!isReusable()) {
         m_stream = std::make_unique<beast::tcp_stream>(m_context);
         m_buf.clear();
         m_stream->expires_after(timeout);
         auto [ec] = co_await m_stream->async_connect(toAsio<tcp>(m_server), NoThrowAwaitable);
         if (ec) {
             m_stream.reset();
-            co_return ChannelReply{0, {}, ec.message()};
+            co_return ChannelReply{0, {}, ec.message(), {}};
         }
         error_code ignored;
         m_stream->socket().set_option(tcp::no_delay(true), ignored);
@@ -41,17 +57,22 @@
 {
     http::request<http::empty_body> request{http::verb::get, target, 11};
     request.set(http::field::host, toString(m_server));
+    if (!m_acceptedEncoding.empty()) {
+        request.set(http::field::accept_encoding, m_acceptedEncoding);
+    }
     auto [writeError, written] = co_await http::async_write(*m_stream, request, NoThrowAwaitable);
     if (writeError) {
-        co_return ChannelReply{0, {}, writeError.message()};
+        co_return ChannelReply{0, {}, writeError.message(), {}};
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxReplyBytes);
     auto [readError, n] = co_await http::async_read(*m_stream, m_buf, parser, NoThrowAwaitable);
     if (readError) {
-        co_return ChannelReply{0, {}, readError.message()};
+        co_return ChannelReply{0, {}, readError.message(), {}};
     }
-    ChannelReply reply{parser.get().result_int(), std::move(parser.get().body()), {}};
+    const auto encoding = parser.get()[http::field::content_encoding];
+    ChannelReply reply{
+        parser.get().result_int(), std::move(parser.get().body()), {}, std::string(encoding.data(), encoding.size())};
     if (!parser.keep_alive()) {
         m_stream.reset();
     }
--- a/src/gateway/httpchannel.h
+++ b/src/gateway/httpchannel.h
@@ -12,13 +12,15 @@
     unsigned status = 0; ///< HTTP status; 0 if the request failed
     std::string body;
     std::string failure; ///< error message if the request failed
+    std::string encoding; ///< content encoding of the body; empty if none
 };
 
 /// Sends GET requests to one server over a persistent connection. Only one request may be in progress at a time.
 class HttpChannel
 {
 public:
-    HttpChannel(asio::io_context &context, Endpoint server);
+    /// `acceptedEncoding`: content encoding in which the server may answer; empty if none.
+    HttpChannel(asio::io_context &context, Endpoint server, std::string acceptedEncoding = {});
 
     /// Never throws. If no complete answer arrives within `timeout`, the connection is closed.
     awaitable<ChannelReply> get(const std::string &target, Milliseconds timeout);
@@ -28,10 +30,12 @@
     }
 
 private:
+    bool isReusable();
     awaitable<ChannelReply> exchange(const std::string &target);
 
     asio::io_context &m_context;
     Endpoint m_server;
+    std::string m_acceptedEncoding;
     std::unique_ptr<beast::tcp_stream> m_stream;
     beast::flat_buffer m_buf;
 };
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -1,9 +1,11 @@
 #include "gateway/storefollower.h"
 
+#include "gateway/compression.h"
 #include "laburnumspar/errors.h"
 #include "laburnumspar/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <set>
 #include <tuple>
@@ -32,14 +34,39 @@
 /// Interval at which both tasks check whether to read the store or to pull changes. A heartbeat with a newer revision
 /// ends the wait early.
 constexpr Milliseconds PollInterval{300};
-/// Minimum time after the start within which other instances are expected to report what they have read.
-constexpr Milliseconds PeerTimeout{100};
-/// Used instead of PeerTimeout when the whole fleet starts for the first time: there is no traffic yet, so the wait
-/// delays no requests.
+/// Used instead of PollInterval while routes or upstreams are unknown.
+constexpr Milliseconds IncompletePollInterval{50};
+/// Delay after an unexpected error before a task goes on.
+constexpr Milliseconds FailureDelay{500};
+/// Time after the start within which other instances are expected to report what they have read. A seed reads the store
+/// first, since the others contact it.
+constexpr Milliseconds SeedPeerTimeout{100};
+/// Range of this time for all other instances. After a power cut all instances start together; the share whose time has
+/// passed doubles with each PeerTimeoutDoubling, so that only a few read the store, whatever their number.
+constexpr Milliseconds MinPeerTimeout{150};
+constexpr Milliseconds MaxPeerTimeout{850};
+constexpr Milliseconds PeerTimeoutDoubling{120};
+/// Used instead when the whole fleet starts for the first time: there is no traffic yet, so the wait delays no
+/// requests.
 constexpr Milliseconds FleetStartPeerTimeout{3500};
-/// Largest random addition to PeerTimeout. After a power cut all instances start together; the first ones read the
-/// store, and the others get its content from them.
-constexpr Milliseconds MaxPeerTimeoutJitter{500};
+constexpr std::size_t MaxPullBytes = 64 << 20;
+/// An update with more items than this is logged as a whole.
+constexpr std::size_t MaxItemsLoggedSingly = 40;
+
+Milliseconds choosePeerTimeout(const GatewaySettings &settings)
+{
+    if (settings.fleetStart) {
+        return FleetStartPeerTimeout;
+    }
+    if (std::find(settings.seeds.begin(), settings.seeds.end(), settings.peers) != settings.seeds.end()) {
+        return SeedPeerTimeout;
+    }
+    std::random_device random;
+    const double share = std::uniform_real_distribution<>(0.001, 1)(random);
+    const Milliseconds delay
+        = MaxPeerTimeout + Milliseconds(std::int64_t(PeerTimeoutDoubling.count() * std::log2(share)));
+    return std::max(delay, MinPeerTimeout);
+}
 
 Milliseconds timeSince(const std::optional<TimePoint> &at, TimePoint now)
 {
@@ -62,24 +89,42 @@
     , m_serviceRegistry(serviceRegistry)
     , m_hooks(std::move(hooks))
     , m_started(Clock::now())
-    , m_peerTimeout(PeerTimeout + Milliseconds(std::random_device()() % unsigned(MaxPeerTimeoutJitter.count())))
+    , m_peerTimeout(choosePeerTimeout(settings))
     , m_store(context, settings.store)
     , m_storeTimer(context)
     , m_peerTimer(context)
+    , m_storeDelay(std::min(m_peerTimeout, PollInterval))
 {
 }
 
 void StoreFollower::start()
 {
     // Two tasks, so that an unanswered call to the store does not delay changes that another instance knows.
-    asio::co_spawn(
-        m_context,
-        [this] { return followStore(); },
-        [](std::exception_ptr error) { handleTaskException(std::move(error), "store.follow-store"); });
-    asio::co_spawn(
-        m_context,
-        [this] { return followPeers(); },
-        [](std::exception_ptr error) { handleTaskException(std::move(error), "store.follow-peers"); });
+    asio::co_spawn(m_context, repeat(&StoreFollower::followStore, "store.follow-store"), [](std::exception_ptr error) {
+        handleTaskException(std::move(error), "store.follow-store");
+    });
+    asio::co_spawn(m_context, repeat(&StoreFollower::followPeers, "store.follow-peers"), [](std::exception_ptr error) {
+        handleTaskException(std::move(error), "store.follow-peers");
+    });
+}
+
+/// Runs the steps of a task without end. An unexpected error ends a step, not the task.
+awaitable<void> StoreFollower::repeat(Step step, const char *name)
+{
+    for (;;) {
+        bool failed = false;
+        try {
+            co_await (this->*step)();
+        } catch (const InvariantError &) {
+            throw;
+        } catch (const std::exception &e) {
+            logEvent(LogLevel::Error, "task.failed", {{"where", name}, {"error", e.what()}});
+            failed = true;
+        }
+        if (failed) {
+            co_await sleepFor(FailureDelay);
+        }
+    }
 }
 
 void StoreFollower::wake()
@@ -98,7 +143,7 @@
 /// Whether the other instances have failed to provide routes and upstreams in time after the start.
 bool StoreFollower::peerTimeoutExpired(TimePoint now) const
 {
-    return !isComplete() && now - m_started >= (m_settings.fleetStart ? FleetStartPeerTimeout : m_peerTimeout);
+    return !isComplete() && now - m_started >= m_peerTimeout;
 }
 
 bool StoreFollower::isComplete() const
@@ -116,39 +161,35 @@
     return timeSince(m_lastFleetAnswer, now);
 }
 
+/// Waits, and reads the store if that is the task of this instance.
 awaitable<void> StoreFollower::followStore()
 {
-    Milliseconds delay = m_peerTimeout;
-    for (;;) {
-        m_storeTimer.expires_after(delay);
-        co_await m_storeTimer.async_wait(NoThrowAwaitable);
-        const auto now = Clock::now();
-        expire(now);
-        delay = PollInterval;
-        if (m_group.isStoreReader(fleetStoreAge(now), now) || peerTimeoutExpired(now)) {
-            co_await readStore();
-            const bool active = m_group.self().role == InstanceRole::Active;
-            delay = !m_storeFailedSince ? ReadInterval : active ? ActiveRetryInterval : InactiveRetryInterval;
-        }
+    m_storeTimer.expires_after(m_storeDelay);
+    co_await m_storeTimer.async_wait(NoThrowAwaitable);
+    const auto now = Clock::now();
+    expire(now);
+    m_storeDelay = isComplete() ? PollInterval : IncompletePollInterval;
+    if (m_group.isStoreReader(fleetStoreAge(now), now) || peerTimeoutExpired(now)) {
+        co_await readStore();
+        const bool active = m_group.self().role == InstanceRole::Active;
+        m_storeDelay = !m_storeFailedSince ? ReadInterval : active ? ActiveRetryInterval : InactiveRetryInterval;
     }
 }
 
+/// Pulls newer changes from another instance, or waits until there may be some.
 awaitable<void> StoreFollower::followPeers()
 {
-    for (;;) {
-        const auto now = Clock::now();
-        const auto *peer = newerPeer(now);
-        if (peer != nullptr && co_await pullFromPeer(peer->ip, m_mirror.newestRevision())) {
-            continue;
-        }
-        if (const auto *differing = differingPeer(now); differing != nullptr) {
-            logEvent(
-                LogLevel::Info, "group.differs", {{"from", differing->ip}, {"revision", m_mirror.newestRevision()}});
-            co_await pullFromPeer(differing->ip, 0);
-        }
-        m_peerTimer.expires_after(PollInterval);
-        co_await m_peerTimer.async_wait(NoThrowAwaitable);
+    const auto now = Clock::now();
+    const auto *peer = newerPeer(now);
+    if (peer != nullptr && co_await pullFromPeer(peer->ip, m_mirror.newestRevision())) {
+        co_return;
+    }
+    if (const auto *differing = differingPeer(now); differing != nullptr) {
+        logEvent(LogLevel::Info, "group.differs", {{"from", differing->ip}, {"revision", m_mirror.newestRevision()}});
+        co_await pullFromPeer(differing->ip, 0);
     }
+    m_peerTimer.expires_after(PollInterval);
+    co_await m_peerTimer.async_wait(NoThrowAwaitable);
 }
 
 /// Returns the instance to pull newer changes from, or null. Traffic between availability zones is expensive, so only
@@ -229,9 +270,9 @@
 
 awaitable<bool> StoreFollower::pullFromPeer(const std::string &ip, std::uint64_t after)
 {
-    HttpChannel channel(m_context, {ip, m_settings.peers.port});
+    HttpChannel channel(m_context, {ip, m_settings.peers.port}, CompressedEncoding);
     const auto before = m_mirror.newestRevision();
-    const auto reply = co_await channel.get("/changes?after=" + std::to_string(after), PullTimeout);
+    auto reply = co_await channel.get("/changes?after=" + std::to_string(after), PullTimeout);
     const auto now = Clock::now();
     if (reply.status != 200) {
         logEvent(
@@ -240,13 +281,17 @@
         co_return false;
     }
     try {
-        auto changes = decodeChanges({reinterpret_cast<const std::uint8_t *>(reply.body.data()), reply.body.size()});
+        const auto body
+            = reply.encoding == CompressedEncoding ? uncompress(reply.body, MaxPullBytes) : std::move(reply.body);
+        auto changes = decodeChanges({reinterpret_cast<const std::uint8_t *>(body.data()), body.size()});
         logEvent(LogLevel::Info,
                  "group.pulled",
                  {{"from", ip}, {"after", after}, {"revision", changes.revision}, {"items", changes.items.size()}});
+        m_logItems = changes.items.size() <= MaxItemsLoggedSingly;
         for (auto &item : changes.items) {
             applyItem(std::move(item), true, now);
         }
+        m_logItems = true;
         m_cursor = std::max(m_cursor, changes.revision);
         // Needed even if nothing was new; otherwise each heartbeat of the other instance would cause the same pull.
         m_mirror.markCompleteUpTo(changes.revision);
@@ -301,10 +346,12 @@
             if (more) {
                 after = page->items.back().key;
             }
+            m_logItems = page->items.size() <= MaxItemsLoggedSingly;
             for (auto &item : page->items) {
                 seen.insert(item.key);
                 applyItem(std::move(item), false, now);
             }
+            m_logItems = true;
         }
     }
     // Known entries that are not listed have been removed while no changes were read.
@@ -320,6 +367,9 @@
         applyItem({key, {}, firstRevision, true}, false, now);
     }
     m_cursor = std::max(m_cursor, firstRevision);
+    logEvent(LogLevel::Info,
+             "store.listed",
+             {{"items", seen.size()}, {"removed", removedKeys.size()}, {"revision", firstRevision}});
     co_return true;
 }
 
@@ -454,7 +504,7 @@
     if (const auto *entry = std::get_if<RegisteredUpstream>(&decoded)) {
         item.contentHash = entry->fingerprint();
         const bool changed = m_serviceRegistry.putUpstream(*entry, now);
-        if (changed) {
+        if (changed && m_logItems) {
             logEvent(LogLevel::Info,
                      "upstream.changed",
                      {{"upstream", entry->id},
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -56,6 +56,9 @@
         TimePoint since;
     };
 
+    using Step = awaitable<void> (StoreFollower::*)();
+
+    awaitable<void> repeat(Step step, const char *name);
     awaitable<void> followStore();
     awaitable<void> followPeers();
     awaitable<void> readStore();
@@ -101,7 +104,9 @@
         m_differences; ///< by address: active instances whose copy differs but is not newer
     std::optional<TimePoint> m_otherZoneNewerSince; ///< since when only other zones have newer changes
     std::optional<TimePoint> m_lastFleetAnswer; ///< when the store last answered any instance
+    Milliseconds m_storeDelay; ///< until the next check whether to read the store
     std::uint64_t m_storeCalls = 0;
+    bool m_logItems = true; ///< log each changed upstream, and not only the update as a whole
     std::vector<InstanceStatus> m_peers;
 };
 
--- a/src/gateway/upstreamconnections.cpp
+++ b/src/gateway/upstreamconnections.cpp
@@ -22,6 +22,11 @@
 constexpr int UnacknowledgedTimeoutMs = 3000;
 constexpr std::size_t MaxIdlePerUpstream = 16;
 constexpr std::uint64_t MaxAnswerBytes = 64 << 20;
+constexpr std::uint32_t MaxAnswerHeaderBytes = 64 << 10;
+/// Unparsed data of an answer. Heads and chunk headers have to fit, which otherwise could grow without end.
+constexpr std::size_t MaxUnparsedBytes = 128 << 10;
+/// Interim answers and answers to earlier requests that are skipped before the answer to a request.
+constexpr unsigned MaxSkippedAnswers = 16;
 
 /// Parses the `timeout=SECONDS` parameter of a Keep-Alive header. Without it, the result allows MaxIdleTime.
 Milliseconds parseKeepAliveTimeout(beast::string_view value)
@@ -44,6 +49,7 @@
 public:
     explicit Connection(asio::io_context &context)
         : socket(context)
+        , buf(MaxUnparsedBytes)
     {
     }
 
@@ -65,7 +71,9 @@
 struct UpstreamConnections::State {
     asio::io_context &context;
     const ForwardingHeaders &names;
-    std::map<std::string, std::deque<std::unique_ptr<Connection>>> idle; ///< by identity, most recently used last
+    std::size_t maxPendingBytes; ///< of all answers that have not arrived completely
+    std::map<std::string, std::deque<std::unique_ptr<Connection>>> idle{}; ///< by identity, most recently used last
+    std::size_t pendingBytes = 0;
     std::uint64_t opened = 0;
 };
 
@@ -96,6 +104,13 @@
         }
     }
 
+    ~ActiveExchange() override
+    {
+        releasePendingBytes();
+    }
+    ActiveExchange(const ActiveExchange &) = delete;
+    ActiveExchange &operator=(const ActiveExchange &) = delete;
+
     void cancel() override
     {
         m_handler = nullptr;
@@ -181,24 +196,51 @@
     void read()
     {
         m_parser.emplace();
+        m_parser->header_limit(MaxAnswerHeaderBytes);
         m_parser->body_limit(MaxAnswerBytes);
         m_parser->skip(m_request.headOnly);
-        http::async_read(m_connection->socket,
-                         m_connection->buf,
-                         *m_parser,
-                         [self = shared_from_this()](error_code ec, std::size_t) {
-                             if (self->m_handler) {
-                                 self->onRead(ec);
-                             }
-                         });
+        readSome();
     }
 
-    void onRead(error_code ec)
+    void readSome()
     {
+        http::async_read_some(m_connection->socket,
+                              m_connection->buf,
+                              *m_parser,
+                              [self = shared_from_this()](error_code ec, std::size_t n) {
+                                  if (self->m_handler) {
+                                      self->onRead(ec, n);
+                                  }
+                              });
+    }
+
+    void onRead(error_code ec, std::size_t n)
+    {
+        m_pendingBytes += n;
+        m_state->pendingBytes += n;
         if (ec) {
             fail(ExchangeOutcome::Lost, ec.message());
             return;
         }
+        if (!m_parser->is_done()) {
+            if (m_state->pendingBytes > m_state->maxPendingBytes) {
+                fail(ExchangeOutcome::Lost, "answers exceed the memory limit");
+            } else {
+                readSome();
+            }
+            return;
+        }
+        releasePendingBytes();
+        onMessage();
+    }
+
+    void releasePendingBytes()
+    {
+        m_state->pendingBytes -= std::exchange(m_pendingBytes, 0);
+    }
+
+    void onMessage()
+    {
         const auto &message = m_parser->get();
         const auto id = message[m_state->names.requestId];
         const bool informational = message.result_int() < 200;
@@ -206,9 +248,11 @@
             // An interim answer, or a second answer to an earlier request; the answer to this request follows.
             if (!informational && !m_parser->keep_alive()) {
                 fail(ExchangeOutcome::Lost, "answer to another request");
-                return;
+            } else if (++m_skippedAnswers > MaxSkippedAnswers) {
+                fail(ExchangeOutcome::Lost, "too many answers to other requests");
+            } else {
+                read();
             }
-            read();
             return;
         }
         ExchangeResult result;
@@ -250,6 +294,7 @@
     {
         auto handler = std::exchange(m_handler, nullptr);
         m_timer.cancel();
+        releasePendingBytes();
         handler(std::move(result));
     }
 
@@ -259,12 +304,16 @@
     asio::steady_timer m_timer;
     std::unique_ptr<Connection> m_connection;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    std::size_t m_pendingBytes = 0; ///< part of State::pendingBytes
+    unsigned m_skippedAnswers = 0;
     bool m_reused = false;
     bool m_connecting = false;
 };
 
-UpstreamConnections::UpstreamConnections(asio::io_context &context, const ForwardingHeaders &names)
-    : m_state(std::make_shared<State>(State{context, names, {}, 0}))
+UpstreamConnections::UpstreamConnections(asio::io_context &context,
+                                         const ForwardingHeaders &names,
+                                         std::size_t maxPendingBytes)
+    : m_state(std::make_shared<State>(State{context, names, maxPendingBytes}))
 {
 }
 
--- a/src/gateway/upstreamconnections.h
+++ b/src/gateway/upstreamconnections.h
@@ -47,7 +47,8 @@
         bool idempotent = false;
     };
 
-    UpstreamConnections(asio::io_context &context, const ForwardingHeaders &names);
+    /// `maxPendingBytes`: of all answers that have not arrived completely; exchanges that exceed it fail.
+    UpstreamConnections(asio::io_context &context, const ForwardingHeaders &names, std::size_t maxPendingBytes);
     ~UpstreamConnections();
     UpstreamConnections(const UpstreamConnections &) = delete;
     UpstreamConnections &operator=(const UpstreamConnections &) = delete;
--- a/src/instancegroup.cpp
+++ b/src/instancegroup.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// Instances of a zone per active instance without load.
-constexpr std::size_t MembersPerActive = 16;
+/// A zone with at least this many instances has two active ones without load. More would each observe fewer attempts
+/// at every upstream, and exchange more observations.
+constexpr std::size_t MinMembersForTwoActive = 32;
 /// One more instance becomes active when the load exceeds the first share of the capacity of the active instances. One
 /// fewer is active when the load without it would stay below the second share.
 constexpr double ScaleUpLoad = 0.5;
@@ -224,17 +225,22 @@
 
 bool InstanceGroup::isStoreReader(Milliseconds fleetStoreAge, TimePoint now) const
 {
+    // Just after a start no answer is known, although others may have had one.
+    const auto uptime = std::chrono::duration_cast<Milliseconds>(now - m_started);
+    const auto age = std::min(fleetStoreAge, uptime);
     if (m_self.role != InstanceRole::Active) {
         const auto position
             = countBefore(rankedInstances(m_self.zone, now), m_self.ip, [](const InstanceStatus &) { return true; });
         return m_self.role != InstanceRole::Leaving
-            && fleetStoreAge > BackupReaderTimeout + int(position) * BackupReaderDelayPerRank;
+            && age > BackupReaderTimeout + int(position) * BackupReaderDelayPerRank;
     }
+    const bool readsAlready = Milliseconds(m_self.storeAgeMs) < MaxReaderStoreAge;
     for (const auto &it : activeInstances("", now)) {
         if (it.ip == m_self.ip) {
             return true;
         }
-        if (Milliseconds(it.storeAgeMs) + statusAge(it.ip, now) < MaxReaderStoreAge) {
+        const bool fresh = Milliseconds(it.storeAgeMs) + statusAge(it.ip, now) < MaxReaderStoreAge;
+        if (fresh || (!readsAlready && age < MaxReaderStoreAge)) {
             return false;
         }
     }
@@ -244,7 +250,7 @@
 std::size_t InstanceGroup::targetActiveCount(TimePoint now) const
 {
     const auto zoneMembers = rankedInstances(m_self.zone, now);
-    const auto minimum = std::max<std::size_t>(1, zoneMembers.size() / MembersPerActive);
+    const std::size_t minimum = zoneMembers.size() < MinMembersForTwoActive ? 1 : 2;
     double load = 0;
     double capacity = 0;
     std::size_t active = 0;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+/// Unparsed data of a request. Heads and chunk headers have to fit, which otherwise could grow without end.
+constexpr std::size_t MaxUnparsedBytes = 128 << 10;
+/// Time to send a response to a client that does not read.
+constexpr Milliseconds WriteTimeout{20'000};
+
 bool isClosedByPeer(tcp::socket &socket)
 {
     char byte = 0;
@@ -51,7 +56,7 @@
     awaitable<void> run()
     {
         auto self = shared_from_this();
-        beast::flat_buffer buf;
+        beast::flat_buffer buf(MaxUnparsedBytes);
         while (!m_closeRequested) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(m_state->limits.maxBodyBytes);
@@ -106,6 +111,7 @@
         response.keep_alive(keepAlive && !m_state->closing);
         response.prepare_payload();
         m_stream.socket().cancel();
+        m_stream.expires_after(WriteTimeout);
         auto [ec, n] = co_await http::async_write(m_stream, response, NoThrowAwaitable);
         m_cancellation.reset();
         --m_state->inFlight;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,6 +1,7 @@
 #include "net/listener.h"
 
 #include "laburnumspar/errors.h"
+#include "laburnumspar/log.h"
 
 namespace laburnumspar::detail {
 
@@ -44,18 +45,49 @@
             co_await sleepFor(RetryDelay);
             continue;
         }
-        error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
+        onAccepted(std::move(socket));
+    }
+}
+
+/// A connection that cannot be set up must not end the task that accepts the others.
+void Listener::onAccepted(tcp::socket socket)
+{
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    try {
         m_onAccept(std::move(socket));
+    } catch (const InvariantError &) {
+        throw;
+    } catch (const std::exception &e) {
+        logEvent(LogLevel::Error, "listener.connection-failed", {{"error", e.what()}});
     }
 }
 
-void Listener::close()
+void Listener::closeNow()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+void Listener::finish()
 {
     asio::post(m_acceptor.get_executor(), [this] {
-        error_code ignored;
-        m_acceptor.close(ignored);
+        error_code ec;
+        m_acceptor.non_blocking(true, ec);
+        while (!ec) {
+            tcp::socket socket(asio::make_strand(m_context));
+            m_acceptor.accept(socket, ec);
+            if (!ec) {
+                onAccepted(std::move(socket));
+            }
+        }
+        closeNow();
     });
 }
 
+void Listener::close()
+{
+    asio::post(m_acceptor.get_executor(), [this] { closeNow(); });
+}
+
 } // namespace laburnumspar::detail
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -14,11 +14,15 @@
     Listener(asio::io_context &context, const Endpoint &endpoint, AcceptHook onAccept);
 
     void start();
+    /// Accepts the connections that are waiting, then stops accepting. Safe to call from any thread.
+    void finish();
     /// Stops accepting. Safe to call from any thread.
     void close();
 
 private:
     awaitable<void> acceptAll();
+    void onAccepted(tcp::socket socket);
+    void closeNow();
 
     asio::io_context &m_context;
     tcp::acceptor m_acceptor;
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -47,7 +47,7 @@
 /// Time without retryable requests after which final attempts serve as trials.
 constexpr Milliseconds RetryableTimeout{1000};
 /// Trials per request. Each trial may cost a retry or a request, so the share is small.
-constexpr double TrialShare = 0.2;
+constexpr double TrialShare = 0.25;
 constexpr double MaxTrialCredit = 3;
 /// Time for which an upstream that refused a request as full is not selected.
 constexpr Milliseconds FullBackoff{80};
@@ -281,6 +281,12 @@
     return observations;
 }
 
+std::string UpstreamPool::zoneOf(const std::string &id) const
+{
+    const auto it = m_upstreams.find(id);
+    return it == m_upstreams.end() ? std::string() : it->second.entry.zone;
+}
+
 std::size_t UpstreamPool::inFlight(TimePoint now) const
 {
     std::size_t total = 0;
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -1,4 +1,5 @@
 #include "gateway/callerserver.h"
+#include "loopback.h"
 #include "net/httpserver.h"
 
 #include <boost/test/unit_test.hpp>
@@ -9,10 +10,11 @@
 
 namespace {
 
-const Endpoint callerAddress{"127.0.0.1", 27911};
-const Endpoint firstAddress{"127.0.0.2", 27912};
-const Endpoint secondAddress{"127.0.0.3", 27912};
+const Endpoint callerAddress{loopbackAddress(0), 27911};
+const Endpoint firstAddress{loopbackAddress(1), 27912};
+const Endpoint secondAddress{loopbackAddress(2), 27912};
 
+constexpr std::size_t MaxPendingBytes = 1 << 20;
 const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run"};
 
 std::shared_ptr<const RouteTable> makeTable(bool idempotent)
@@ -47,8 +49,8 @@
                  [this](HttpRequest request, CancellationPtr) {
                      return answerAfter(secondAnswer, std::move(request), 0ms);
                  })
-        , forwarder(context, serviceRegistry, headers, metrics)
-        , callers(context, callerAddress, forwarder, serviceRegistry, headers)
+        , forwarder(context, serviceRegistry, headers, metrics, MaxPendingBytes)
+        , callers(context, callerAddress, forwarder, serviceRegistry, headers, MaxPendingBytes)
     {
         first.start();
         second.start();
--- a/tests/test_instancegroup.cpp
+++ b/tests/test_instancegroup.cpp
@@ -82,6 +82,18 @@
     BOOST_TEST(fleet.withRole(InstanceRole::Spare).size() == 1U);
 }
 
+// Guards against active instances that are so many that each observes too few attempts, and whose messages to each
+// other grow with the square of their number.
+BOOST_AUTO_TEST_CASE(largeZonesHaveTwoActiveInstances)
+{
+    Fleet fleet(40);
+    fleet.run(4s);
+    BOOST_TEST(fleet.withRole(InstanceRole::Active).size() == 2U);
+    Fleet large(90);
+    large.run(3s);
+    BOOST_TEST(large.withRole(InstanceRole::Active).size() == 2U);
+}
+
 // Guards against a zone without an address for callers after its active instance has failed.
 BOOST_AUTO_TEST_CASE(spareTakesOverWhenTheActiveInstanceIsUnresponsive)
 {
@@ -194,6 +206,29 @@
     BOOST_TEST(readers().size() == 2U);
 }
 
+// Guards against all active instances listing the store just after a common start, when none knows of an answer yet.
+BOOST_AUTO_TEST_CASE(oneActiveInstanceReadsTheStoreAfterACommonStart)
+{
+    Fleet fleet(2);
+    fleet.add("10.2.0.1", "catania");
+    fleet.add("10.3.0.1", "messina");
+    constexpr Milliseconds Never{3'600'000};
+    for (const auto &it : fleet.instances) {
+        it->self().storeAgeMs = std::uint32_t(Never.count());
+    }
+    fleet.run(1s);
+    const auto countReaders = [&] {
+        return std::count_if(fleet.instances.begin(), fleet.instances.end(), [&](const auto &it) {
+            return it->isStoreReader(Never, fleet.now);
+        });
+    };
+    BOOST_TEST(fleet.withRole(InstanceRole::Active).size() == 3U);
+    BOOST_TEST(countReaders() == 1);
+    // The first one gets no answer.
+    fleet.run(1s);
+    BOOST_TEST(countReaders() == 4);
+}
+
 // Guards against a late status of an earlier process of an instance that replaces the present one.
 BOOST_AUTO_TEST_CASE(olderIncarnationsAreIgnored)
 {
--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -1,4 +1,6 @@
+#include "gateway/compression.h"
 #include "gateway/storefollower.h"
+#include "loopback.h"
 #include "net/httpserver.h"
 #include "platform/adapter.h"
 
@@ -13,6 +15,9 @@
 
 constexpr std::uint16_t StorePort = 27901;
 constexpr std::uint16_t PeerPort = 27902;
+const std::string selfIp = loopbackAddress(0);
+const std::string peerIp = loopbackAddress(1);
+const std::string nearIp = loopbackAddress(2);
 
 std::string encodeBase64(const std::string &text)
 {
@@ -26,14 +31,15 @@
 
 /// A follower with a store and one other instance, whose answers are set by the test.
 struct Fixture {
-    Fixture()
-        : store(context,
-                {"127.0.0.1", StorePort},
+    explicit Fixture(bool firstStart = false)
+        : fleetStart(firstStart)
+        , store(context,
+                {selfIp, StorePort},
                 {},
                 [this](HttpRequest request, CancellationPtr) { return answerStore(std::move(request)); })
-        , peer(context, {"127.0.0.2", PeerPort}, {}, [this](HttpRequest, CancellationPtr) { return answerPeer(); })
+        , peer(context, {peerIp, PeerPort}, {}, [this](HttpRequest, CancellationPtr) { return answerPeer(); })
         , serviceRegistry("palermo", {}, 1)
-        , group(makeStatus("127.0.0.1"), {}, Clock::now())
+        , group(makeStatus(selfIp), {}, Clock::now())
         , follower(context, makeSettings(), adapter, group, serviceRegistry, {[this] { ++announced; }})
     {
         store.start();
@@ -52,11 +58,12 @@
 
     const GatewaySettings &makeSettings()
     {
-        settings.ip = "127.0.0.1";
+        settings.fleetStart = fleetStart;
+        settings.ip = selfIp;
         settings.zone = "palermo";
         settings.zones = {"palermo"};
-        settings.store = {"127.0.0.1", StorePort};
-        settings.peers = {"127.0.0.1", PeerPort};
+        settings.store = {selfIp, StorePort};
+        settings.peers = {selfIp, PeerPort};
         return settings;
     }
 
@@ -86,7 +93,13 @@
     {
         ++pullsFromPeer;
         const auto bytes = encodeChanges({peerRevision, {{"servers/i-9", serverText, 50, false}}});
-        co_return makeResponse(http::status::ok, "application/octet-stream", std::string(bytes.begin(), bytes.end()));
+        const std::string body(bytes.begin(), bytes.end());
+        auto response
+            = makeResponse(http::status::ok, "application/octet-stream", peerCompresses ? compress(body) : body);
+        if (peerCompresses) {
+            response.set(http::field::content_encoding, CompressedEncoding);
+        }
+        co_return response;
     }
 
     /// Runs until the condition holds. Returns false if it does not within 20 seconds.
@@ -112,6 +125,7 @@
     }
 
     asio::io_context context{1};
+    bool fleetStart = false;
     bool storeUnresponsive = false;
     bool historyGone = false;
     std::optional<TimePoint> historyGoneAt;
@@ -126,6 +140,7 @@
     InstanceGroup group;
     int announced = 0;
     int pullsFromPeer = 0;
+    bool peerCompresses = false;
     std::uint64_t peerRevision = 50;
     StoreFollower follower;
 };
@@ -139,7 +154,7 @@
     becomeActive();
     follower.start();
     runUntil([this] { return follower.storeCalls() > 0; });
-    auto status = makeStatus("127.0.0.2");
+    auto status = makeStatus(peerIp);
     status.storeRevision = 50;
     status.role = InstanceRole::Active;
     const auto received = Clock::now();
@@ -162,7 +177,7 @@
     storeUnresponsive = true;
     const auto partitionedUntil = Clock::now() + 4s;
     runUntil([&] {
-        auto status = makeStatus("127.0.0.2");
+        auto status = makeStatus(peerIp);
         // The other instance has not read the store itself, but knows of a third one that has.
         status.storeAgeMs = 3'600'000;
         status.fleetStoreAgeMs = 100;
@@ -204,7 +219,7 @@
     becomeActive();
     follower.start();
     BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-1") != nullptr; }));
-    auto status = makeStatus("127.0.0.2");
+    auto status = makeStatus(peerIp);
     status.role = InstanceRole::Active;
     status.storeRevision = 50;
     status.storeDigest = 12345;
@@ -223,7 +238,7 @@
     becomeActive();
     follower.start();
     BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-1") != nullptr; }));
-    auto status = makeStatus("127.0.0.2");
+    auto status = makeStatus(peerIp);
     status.role = InstanceRole::Active;
     status.storeRevision = 10;
     const auto until = Clock::now() + 3s;
@@ -245,7 +260,7 @@
     follower.start();
     BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-9") != nullptr; }));
     peerRevision = 60;
-    auto status = makeStatus("127.0.0.2");
+    auto status = makeStatus(peerIp);
     status.role = InstanceRole::Active;
     status.storeRevision = 60;
     status.storeDigest = follower.mirror().digest();
@@ -264,10 +279,10 @@
 {
     events = makeItemJson("i-1", 60);
     revision = 60;
-    auto near = makeStatus("127.0.0.3");
+    auto near = makeStatus(nearIp);
     near.role = InstanceRole::Active;
     near.capacity = 900;
-    auto far = makeStatus("127.0.0.2");
+    auto far = makeStatus(peerIp);
     far.zone = "catania";
     far.role = InstanceRole::Active;
     far.storeRevision = 60;
@@ -293,7 +308,7 @@
     becomeActive();
     follower.start();
     BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-1") != nullptr; }));
-    auto status = makeStatus("127.0.0.2");
+    auto status = makeStatus(peerIp);
     status.role = InstanceRole::Active;
     BOOST_TEST(runUntil([&] {
         status.storeRevision = status.storeRevision == 60 ? 55 : 60;
@@ -307,10 +322,10 @@
 // because the active instance of its own zone does not have them.
 BOOST_FIXTURE_TEST_CASE(changesArePulledFromTheOwnZoneFirst, Fixture)
 {
-    auto near = makeStatus("127.0.0.3");
+    auto near = makeStatus(nearIp);
     near.role = InstanceRole::Active;
     near.capacity = 900;
-    auto far = makeStatus("127.0.0.2");
+    auto far = makeStatus(peerIp);
     far.zone = "catania";
     far.role = InstanceRole::Active;
     far.storeRevision = 50;
@@ -350,3 +365,40 @@
     BOOST_TEST((*listDelay < 200ms));
     BOOST_TEST(follower.storeCalls() > callsBefore);
 }
+
+// Guards against hundreds of instances that each list the whole store when the fleet starts for the first time: the
+// active instances read it, and the others receive its content from them.
+BOOST_AUTO_TEST_CASE(inactiveInstancesDoNotReadAtTheFirstStart)
+{
+    Fixture fixture(true);
+    fixture.follower.start();
+    const auto until = Clock::now() + 1s;
+    fixture.runUntil([&] { return Clock::now() > until; });
+    BOOST_TEST(fixture.follower.storeCalls() == 0U);
+    fixture.becomeActive();
+    BOOST_TEST(fixture.runUntil([&] { return fixture.follower.storeCalls() > 0; }));
+}
+
+// Guards against an instance that starts alone and waits for others that do not exist.
+BOOST_FIXTURE_TEST_CASE(loneInstanceReadsTheStoreSoonAfterItsStart, Fixture)
+{
+    events = makeItemJson("i-1", 5);
+    const auto begin = Clock::now();
+    follower.start();
+    BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-1") != nullptr; }));
+    BOOST_TEST((Clock::now() - begin < 2s));
+}
+
+// Guards against small machines whose links are filled by the state of other instances.
+BOOST_FIXTURE_TEST_CASE(compressedPullsAreUnderstood, Fixture)
+{
+    peerCompresses = true;
+    follower.start();
+    auto status = makeStatus(peerIp);
+    status.storeRevision = 50;
+    status.role = InstanceRole::Active;
+    group.receiveStatus(status, Clock::now());
+    follower.receivePeerStatus(status, Clock::now());
+    BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-9") != nullptr; }));
+    BOOST_TEST(pullsFromPeer == 1);
+}
--- /dev/null
+++ b/tests/test_upstreamconnections.cpp
@@ -0,0 +1,227 @@
+#include "gateway/upstreamconnections.h"
+
+#include "loopback.h"
+#include "rawupstream.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace laburnumspar;
+using namespace laburnumspar::detail;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run"};
+const Endpoint upstreamAddress{loopbackAddress(0), 27921};
+constexpr std::size_t MaxPendingBytes = 2 << 20;
+/// What an upstream may have sent before its connection is closed: the limits of this side, and the socket buffers of
+/// both sides.
+constexpr std::size_t MaxSentWithoutEnd = 24 << 20;
+
+std::string answerTo(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Own: s\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+struct Fixture {
+    ~Fixture()
+    {
+        upstream.close();
+        run(50ms);
+    }
+
+    void run(Milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
+    /// Starts an exchange whose result is stored in `result`.
+    std::shared_ptr<Exchange> start(const std::string &id, std::optional<ExchangeResult> &result)
+    {
+        UpstreamConnections::Request request;
+        request.address = upstreamAddress;
+        request.identity = "i-1";
+        request.head = "GET / HTTP/1.1\r\nHost: a\r\nX-Id: " + id + "\r\n\r\n";
+        request.requestId = id;
+        return connections.send(std::move(request), [&result](ExchangeResult it) { result = std::move(it); });
+    }
+
+    /// Runs one exchange to its end.
+    ExchangeResult exchange(const std::string &id)
+    {
+        std::optional<ExchangeResult> result;
+        const auto pending = start(id, result);
+        const auto limit = Clock::now() + 20s;
+        while (!result && Clock::now() < limit) {
+            run(10ms);
+        }
+        BOOST_REQUIRE(result);
+        return std::move(*result);
+    }
+
+    /// Checks that an exchange with an upstream that sends `prefix` and then `repeated` without end fails, and that the
+    /// connection is closed after a limited number of bytes.
+    void checkEndless(const std::string &prefix, const std::string &repeated)
+    {
+        upstream.script = [prefix, repeated](RawUpstream &self, tcp::socket &socket, std::string) -> awaitable<void> {
+            co_await self.send(socket, prefix);
+            co_await self.sendWithoutEnd(socket, repeated);
+        };
+        upstream.sent = 0;
+        const auto closed = upstream.closedByPeer;
+        BOOST_TEST((exchange("r1").outcome == ExchangeOutcome::Lost));
+        run(100ms);
+        BOOST_TEST(upstream.closedByPeer == closed + 1);
+        BOOST_TEST(upstream.sent < MaxSentWithoutEnd);
+    }
+
+    /// Checks that an answer which ends with the connection is not taken for a complete one.
+    void checkBrokenOff(const std::string &text, bool reset)
+    {
+        upstream.script = [text, reset](RawUpstream &self, tcp::socket &socket, std::string) -> awaitable<void> {
+            co_await self.send(socket, text);
+            co_await sleepFor(20ms);
+            error_code ignored;
+            if (reset) {
+                socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            }
+            socket.close(ignored);
+        };
+        BOOST_TEST((exchange("r1").outcome == ExchangeOutcome::Lost));
+    }
+
+    asio::io_context context{1};
+    RawUpstream upstream{context, upstreamAddress, "X-Id"};
+    UpstreamConnections connections{context, headers, MaxPendingBytes};
+};
+
+} // namespace
+
+// Guards against an answer that is passed on twice: the second copy of an earlier answer arrives where the answer to
+// the next request is expected.
+BOOST_FIXTURE_TEST_CASE(secondCopyOfAnEarlierAnswerIsSkipped, Fixture)
+{
+    upstream.script = [](RawUpstream &self, tcp::socket &socket, std::string id) -> awaitable<void> {
+        if (id == "r2") {
+            co_await self.send(socket, answerTo("r1", "first"));
+        }
+        co_await self.send(socket, answerTo(id, id == "r1" ? "first" : "second"));
+    };
+    BOOST_TEST(exchange("r1").message.body() == "first");
+    BOOST_TEST(exchange("r2").message.body() == "second");
+    BOOST_TEST(upstream.connections == 1U);
+}
+
+// Guards against the same when the second copy arrives while the connection is idle: the connection is not used again.
+BOOST_FIXTURE_TEST_CASE(connectionWithUnexpectedDataIsNotReused, Fixture)
+{
+    upstream.script = [](RawUpstream &self, tcp::socket &socket, std::string id) -> awaitable<void> {
+        co_await self.send(socket, answerTo(id, id));
+        co_await sleepFor(20ms);
+        co_await self.send(socket, answerTo(id, id));
+    };
+    BOOST_TEST(exchange("r1").message.body() == "r1");
+    run(60ms);
+    BOOST_TEST(exchange("r2").message.body() == "r2");
+    BOOST_TEST(upstream.connections == 2U);
+}
+
+// Guards against the same when the second copy follows the first without a gap, as bytes after the announced length.
+BOOST_FIXTURE_TEST_CASE(connectionWithBytesAfterTheAnswerIsNotReused, Fixture)
+{
+    upstream.script = [](RawUpstream &self, tcp::socket &socket, std::string id) -> awaitable<void> {
+        co_await self.send(socket, answerTo(id, id) + answerTo(id, id));
+    };
+    BOOST_TEST(exchange("r1").message.body() == "r1");
+    BOOST_TEST(exchange("r2").message.body() == "r2");
+    BOOST_TEST(upstream.connections == 2U);
+}
+
+// Guards against taking an answer without an identifier, which may belong to any request, for one that is known to be
+// the right one.
+BOOST_FIXTURE_TEST_CASE(answerWithoutAnIdentifierIsNotIdentified, Fixture)
+{
+    upstream.script = [](RawUpstream &self, tcp::socket &socket, std::string) -> awaitable<void> {
+        co_await self.send(socket, "HTTP/1.1 200 OK\r\nX-Own: s\r\nContent-Length: 2\r\n\r\nok");
+    };
+    BOOST_TEST(!exchange("r1").identified);
+    exchange("r2");
+    BOOST_TEST(upstream.connections == 2U);
+}
+
+// Guards against passing on a part of an answer as a whole one.
+BOOST_FIXTURE_TEST_CASE(answersThatBreakOffAreLost, Fixture)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Own: s\r\n";
+    checkBrokenOff(head.substr(0, 20), false);
+    checkBrokenOff(head + "Content-Length: 10\r\n\r\n12345", false);
+    checkBrokenOff(head + "Content-Length: 10\r\n\r\n12345", true);
+    checkBrokenOff(head + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n", false);
+    checkBrokenOff(head + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n", false);
+    checkBrokenOff(head + "\r\n12345", true);
+    checkBrokenOff("HTTP/1.1 100 Continue\r\n\r\n", false);
+}
+
+// Guards against losing answers that end with the connection on purpose.
+BOOST_FIXTURE_TEST_CASE(answerWithoutLengthEndsWithTheConnection, Fixture)
+{
+    upstream.script = [](RawUpstream &self, tcp::socket &socket, std::string) -> awaitable<void> {
+        co_await self.send(socket, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Own: s\r\n\r\n12345");
+        error_code ignored;
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+    };
+    const auto result = exchange("r1");
+    BOOST_TEST((result.outcome == ExchangeOutcome::Answered));
+    BOOST_TEST(result.message.body() == "12345");
+}
+
+// Guards against memory that fills with bytes that are no answer, which an upstream in trouble sends until its
+// connection is closed.
+BOOST_FIXTURE_TEST_CASE(endlessAnswersAreCutOff, Fixture)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Own: s\r\n";
+    const std::string block(8192, 'a');
+    checkEndless("", block);
+    checkEndless("HTTP/1.1 200 OK\r\nX-Long: ", block);
+    checkEndless("HTTP/1.1 200 OK\r\n", "X-More: 1\r\n");
+    checkEndless("", "HTTP/1.1 100 Continue\r\n\r\n");
+    checkEndless("", answerTo("r0", block));
+    checkEndless(head + "\r\n", block);
+    checkEndless(head + "Content-Length: 10000000000\r\n\r\n", block);
+    checkEndless(head + "Transfer-Encoding: chunked\r\n\r\n", "2000\r\n" + block + "\r\n");
+    checkEndless(head + "Transfer-Encoding: chunked\r\n\r\n5;", block);
+    checkEndless(head + "Transfer-Encoding: chunked\r\n\r\n", "1;" + block + "\r\na\r\n");
+    checkEndless(head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Trailer: ", block);
+}
+
+// Guards against a limit for each answer that many answers exceed together.
+BOOST_FIXTURE_TEST_CASE(memoryLimitCoversAllAnswers, Fixture)
+{
+    const std::string part(MaxPendingBytes / 4, 'a');
+    upstream.script = [part](RawUpstream &self, tcp::socket &socket, std::string id) -> awaitable<void> {
+        co_await self.send(socket,
+                           "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Own: s\r\nContent-Length: 4000000\r\n\r\n");
+        co_await self.send(socket, part);
+    };
+    std::vector<std::optional<ExchangeResult>> results(12);
+    std::vector<std::shared_ptr<Exchange>> pending;
+    for (std::size_t n = 0; n < results.size(); ++n) {
+        pending.push_back(start("r" + std::to_string(n), results[n]));
+    }
+    run(500ms);
+    const auto failed = std::count_if(results.begin(), results.end(), [](const auto &it) { return it.has_value(); });
+    BOOST_TEST(failed >= 8);
+    BOOST_TEST(failed < 12);
+    // Memory of cancelled exchanges is available again.
+    for (const auto &it : pending) {
+        it->cancel();
+    }
+    pending.clear();
+    run(50ms);
+    upstream.script = [](RawUpstream &self, tcp::socket &socket, std::string id) -> awaitable<void> {
+        co_await self.send(socket, answerTo(id, std::string(MaxPendingBytes / 2, 'b')));
+    };
+    BOOST_TEST((exchange("r100").outcome == ExchangeOutcome::Answered));
+}
