store follower: no instance loses upstreams or a configuration by an incomplete copy

Two causes. 1. While an instance lists the store page by page, each listed item advanced the revision that it reports. Others took its copy for complete up to there and skipped a configuration that is older than the upstreams listed before it. Now the parts of a list advance nothing; the end of the list does. 2. An instance that read the store itself saw leases lapse and then relied on another one, which had listed the store later and found the entries unchanged, so it never passed them on. An entry that was created again since its known revision now counts as changed. Tests: incompleteListsAreNotReported and recreatedEntriesArePassedOn, both fail on the old code.

--- a/include/laburnumspar/storemirror.h
+++ b/include/laburnumspar/storemirror.h
@@ -15,6 +15,7 @@
     std::uint64_t revision = 0; ///< of the last change
     bool removed = false;
     std::uint32_t contentHash = 0; ///< equal for items of equivalent content; 0: the hash of the value is used
+    std::uint64_t createdRevision = 0; ///< of its creation; 0 if unknown
 };
 
 /// Copy of the parts of the operators' store that instances replicate to each other. For each key the newest revision
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -289,7 +289,7 @@
                  {{"from", ip}, {"after", after}, {"revision", changes.revision}, {"items", changes.items.size()}});
         m_logItems = changes.items.size() <= MaxItemsLoggedSingly;
         for (auto &item : changes.items) {
-            applyItem(std::move(item), true, now);
+            applyItem(std::move(item), ItemSource::Peer, now);
         }
         m_logItems = true;
         m_cursor = std::max(m_cursor, changes.revision);
@@ -349,7 +349,7 @@
             m_logItems = page->items.size() <= MaxItemsLoggedSingly;
             for (auto &item : page->items) {
                 seen.insert(item.key);
-                applyItem(std::move(item), false, now);
+                applyItem(std::move(item), ItemSource::List, now);
             }
             m_logItems = true;
         }
@@ -364,9 +364,10 @@
         }
     }
     for (const auto &key : removedKeys) {
-        applyItem({key, {}, firstRevision, true}, false, now);
+        applyItem({key, {}, firstRevision, true}, ItemSource::List, now);
     }
     m_cursor = std::max(m_cursor, firstRevision);
+    m_mirror.markCompleteUpTo(firstRevision);
     logEvent(LogLevel::Info,
              "store.listed",
              {{"items", seen.size()}, {"removed", removedKeys.size()}, {"revision", firstRevision}});
@@ -382,7 +383,7 @@
     }
     const auto now = Clock::now();
     for (auto &item : page->items) {
-        applyItem(std::move(item), false, now);
+        applyItem(std::move(item), ItemSource::Changes, now);
     }
     m_cursor = std::max(m_cursor, page->revision);
     co_return true;
@@ -447,12 +448,17 @@
     }
 }
 
-void StoreFollower::applyItem(StoreItem item, bool fromPeer, TimePoint now)
+void StoreFollower::applyItem(StoreItem item, ItemSource source, TimePoint now)
 {
     const auto *known = m_mirror.find(item.key);
     if (known != nullptr && known->revision >= item.revision) {
+        // A change that was listed before has not been reported to the other instances yet.
+        if (source == ItemSource::Changes && known->revision == item.revision) {
+            m_mirror.markCompleteUpTo(item.revision);
+        }
         return;
     }
+    const bool fromPeer = source == ItemSource::Peer;
     if (item.removed) {
         // The removal of an unknown item changes nothing. From another instance it is kept, so that both have
         // the same copy.
@@ -461,14 +467,17 @@
         }
         return;
     }
-    const bool changed = decodeAndApply(item, now);
+    // The item was removed and created again since its known revision. Other instances may have seen the removal.
+    const bool recreated = known != nullptr && item.createdRevision > known->revision;
+    const bool changed = decodeAndApply(item, now) || recreated;
     if (changed) {
         m_pendingRemovals.erase(item.key);
     }
     // An entry that only renews its heartbeat is not kept. From another instance it is kept, so that both have
-    // the same copy.
+    // the same copy. The parts of a list do not advance the revision, because other instances would take it for
+    // complete: an older change may be on a later page.
     if (changed || fromPeer) {
-        m_mirror.apply(std::move(item), changed);
+        m_mirror.apply(std::move(item), changed && source != ItemSource::List);
     }
 }
 
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -74,7 +74,13 @@
     const InstanceStatus *newerPeer(TimePoint now);
     const InstanceStatus *newestPeer(bool ownZoneOnly) const;
     const InstanceStatus *differingPeer(TimePoint now);
-    void applyItem(StoreItem item, bool fromPeer, TimePoint now);
+    enum class ItemSource : std::uint8_t {
+        Peer, ///< another instance
+        List, ///< a list of the store, which is complete only with its last page
+        Changes, ///< the changes of the store
+    };
+
+    void applyItem(StoreItem item, ItemSource source, TimePoint now);
     void applyRemoval(const StoreItem &item, TimePoint now);
     bool decodeAndApply(StoreItem &item, TimePoint now);
     void recordStoreAnswer(TimePoint now);
--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -81,6 +81,11 @@
             listDelay = Clock::now() - *historyGoneAt;
             historyGoneAt.reset();
         }
+        if (list && request.target().find("servers") == beast::string_view::npos) {
+            while (configurationDelayed) {
+                co_await sleepFor(5ms);
+            }
+        }
         std::string body = list ? R"({"items":[)" : R"({"events":[)";
         if (!list || request.target().find("servers") != beast::string_view::npos) {
             body += std::exchange(events, {});
@@ -118,15 +123,16 @@
         runUntil([this] { return group.updateRole(Clock::now()) == InstanceRole::Active; });
     }
 
-    static std::string makeItemJson(const std::string &id, std::uint64_t rev)
+    static std::string makeItemJson(const std::string &id, std::uint64_t rev, std::uint64_t createdRev = 1)
     {
-        return R"({"key":"servers/)" + id + R"(","rev":)" + std::to_string(rev) + R"(,"value":")"
-            + encodeBase64(serverText) + "\"}";
+        return R"({"key":"servers/)" + id + R"(","rev":)" + std::to_string(rev) + R"(,"created_rev":)"
+            + std::to_string(createdRev) + R"(,"value":")" + encodeBase64(serverText) + "\"}";
     }
 
     asio::io_context context{1};
     bool fleetStart = false;
     bool storeUnresponsive = false;
+    bool configurationDelayed = false;
     bool historyGone = false;
     std::optional<TimePoint> historyGoneAt;
     std::optional<Clock::duration> listDelay;
@@ -379,6 +385,46 @@
     BOOST_TEST(fixture.runUntil([&] { return fixture.follower.storeCalls() > 0; }));
 }
 
+// Guards against instances that take a list for complete while a part of it is still being read: they skipped a
+// configuration with an older revision than the upstreams that had been listed before it (hunt 5e88).
+BOOST_FIXTURE_TEST_CASE(incompleteListsAreNotReported, Fixture)
+{
+    events = makeItemJson("i-1", 60);
+    revision = 50;
+    configurationDelayed = true;
+    becomeActive();
+    follower.start();
+    BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-1") != nullptr; }));
+    BOOST_TEST(follower.mirror().newestRevision() == 0U);
+    BOOST_TEST(announced == 0);
+    // The upstream was changed after the first page; the change arrives again with the next changes.
+    events = makeItemJson("i-1", 60);
+    configurationDelayed = false;
+    BOOST_TEST(runUntil([this] { return follower.mirror().newestRevision() == 60U; }));
+    BOOST_TEST(announced > 0);
+}
+
+// Guards against losing upstreams that are alive: another instance has seen the lease of an entry lapse, this one has
+// not, so the same entry with a new lease must be passed on although its content is known here (hunt 5e88).
+BOOST_FIXTURE_TEST_CASE(recreatedEntriesArePassedOn, Fixture)
+{
+    events = makeItemJson("i-1", 5, 5);
+    becomeActive();
+    follower.start();
+    BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-1") != nullptr; }));
+    BOOST_TEST(runUntil([this] { return follower.mirror().newestRevision() == 10U; }));
+    events = makeItemJson("i-1", 12, 5);
+    revision = 12;
+    BOOST_TEST(runUntil([this] { return events.empty(); }));
+    const auto until = Clock::now() + 200ms;
+    runUntil([&] { return Clock::now() > until; });
+    BOOST_TEST(follower.mirror().changesAfter(10).empty());
+    events = makeItemJson("i-1", 20, 19);
+    revision = 20;
+    BOOST_TEST(runUntil([this] { return follower.mirror().newestRevision() == 20U; }));
+    BOOST_TEST(follower.mirror().changesAfter(10).size() == 1U);
+}
+
 // Guards against an instance that starts alone and waits for others that do not exist.
 BOOST_FIXTURE_TEST_CASE(loneInstanceReadsTheStoreSoonAfterItsStart, Fixture)
 {
