metrics: age and revision of the copy of the store, and outcome of pulls

Change: gauges of the revision, of the age of the store and of pulls by success; duration and size of each pull in its log line. Measured: built, unit tests of the store follower unchanged.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -286,6 +286,10 @@
         }
         metrics.gauge("lspar_connections_opened").set(double(forwarder.connections().opened()));
         metrics.gauge("lspar_store_calls").set(double(follower.storeCalls()));
+        metrics.gauge("lspar_store_revision").set(double(follower.mirror().newestRevision()));
+        metrics.gauge("lspar_store_age_seconds").set(double(follower.fleetStoreAge(Clock::now()).count()) / 1000);
+        metrics.gauge("lspar_pulls").set(double(follower.pulls()));
+        metrics.gauge("lspar_pulls_failed").set(double(follower.failedPulls()));
         metrics.gauge("lspar_requests_in_flight").set(double(forwarder.inFlight()));
         co_return makeResponse(http::status::ok, "text/plain; version=0.0.4", metrics.prometheus());
     }
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -272,11 +272,15 @@
 {
     HttpChannel channel(m_context, {ip, m_settings.peers.port}, CompressedEncoding);
     const auto before = m_mirror.newestRevision();
+    const auto begin = Clock::now();
     auto reply = co_await channel.get("/changes?after=" + std::to_string(after), PullTimeout);
     const auto now = Clock::now();
+    const std::int64_t took = std::chrono::duration_cast<Milliseconds>(now - begin).count();
     if (reply.status != 200) {
-        logEvent(
-            LogLevel::Warning, "group.pull-failed", {{"from", ip}, {"status", reply.status}, {"error", reply.failure}});
+        ++m_failedPulls;
+        logEvent(LogLevel::Warning,
+                 "group.pull-failed",
+                 {{"from", ip}, {"after", after}, {"status", reply.status}, {"error", reply.failure}, {"ms", took}});
         m_group.markUnresponsive(ip, now);
         co_return false;
     }
@@ -286,7 +290,13 @@
         auto changes = decodeChanges({reinterpret_cast<const std::uint8_t *>(body.data()), body.size()});
         logEvent(LogLevel::Info,
                  "group.pulled",
-                 {{"from", ip}, {"after", after}, {"revision", changes.revision}, {"items", changes.items.size()}});
+                 {{"from", ip},
+                  {"after", after},
+                  {"revision", changes.revision},
+                  {"items", changes.items.size()},
+                  {"bytes", body.size()},
+                  {"ms", took}});
+        ++m_pulls;
         m_logItems = changes.items.size() <= MaxItemsLoggedSingly;
         for (auto &item : changes.items) {
             applyItem(std::move(item), ItemSource::Peer, now);
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -46,6 +46,15 @@
     {
         return m_storeCalls;
     }
+    /// Number of requests for the changes that another instance knows, by their success.
+    std::uint64_t pulls() const
+    {
+        return m_pulls;
+    }
+    std::uint64_t failedPulls() const
+    {
+        return m_failedPulls;
+    }
 
 private:
     /// State of another instance's copy of the store when it was first seen to differ.
@@ -112,6 +121,8 @@
     std::optional<TimePoint> m_lastFleetAnswer; ///< when the store last answered any instance
     Milliseconds m_storeDelay; ///< until the next check whether to read the store
     std::uint64_t m_storeCalls = 0;
+    std::uint64_t m_pulls = 0;
+    std::uint64_t m_failedPulls = 0;
     bool m_logItems = true; ///< log each changed upstream, and not only the update as a whole
     std::vector<InstanceStatus> m_peers;
 };
