--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -37,13 +37,18 @@
                 {selfIp, StorePort},
                 {},
                 [this](HttpRequest request, CancellationPtr) { return answerStore(std::move(request)); })
-        , peer(context, {peerIp, PeerPort}, {}, [this](HttpRequest, CancellationPtr) { return answerPeer(); })
+        , peer(context,
+               {peerIp, PeerPort},
+               {},
+               [this](HttpRequest request, CancellationPtr) { return answerPeer(std::move(request)); })
+        , silentPeer(context, {nearIp, PeerPort}, {}, [this](HttpRequest, CancellationPtr) { return neverAnswer(); })
         , serviceRegistry("palermo", {}, 1)
         , group(makeStatus(selfIp), {}, Clock::now())
         , follower(context, makeSettings(), adapter, group, serviceRegistry, {[this] { ++announced; }})
     {
         store.start();
         peer.start();
+        silentPeer.start();
     }
 
     static InstanceStatus makeStatus(const std::string &ip)
@@ -94,10 +99,14 @@
         co_return makeResponse(http::status::ok, "application/json", body);
     }
 
-    awaitable<HttpResponse> answerPeer()
+    awaitable<HttpResponse> answerPeer(HttpRequest request)
     {
         ++pullsFromPeer;
-        const auto bytes = encodeChanges({peerRevision, {{"servers/i-9", serverText, 50, false}}});
+        const std::string target(request.target());
+        const auto after = std::stoull(target.substr(target.find('=') + 1));
+        MirrorChanges changes{peerRevision, peerItems};
+        std::erase_if(changes.items, [after](const StoreItem &it) { return it.revision <= after; });
+        const auto bytes = encodeChanges(changes);
         const std::string body(bytes.begin(), bytes.end());
         auto response
             = makeResponse(http::status::ok, "application/octet-stream", peerCompresses ? compress(body) : body);
@@ -107,6 +116,13 @@
         co_return response;
     }
 
+    awaitable<HttpResponse> neverAnswer()
+    {
+        ++pullsFromSilentPeer;
+        co_await sleepFor(60s);
+        co_return makeResponse(http::status::ok, "application/octet-stream", "");
+    }
+
     /// Runs until the condition holds. Returns false if it does not within 20 seconds.
     bool runUntil(const std::function<bool()> &condition)
     {
@@ -140,14 +156,17 @@
     std::uint64_t revision = 10;
     HttpServer store;
     HttpServer peer;
+    HttpServer silentPeer;
     GatewaySettings settings;
     PlatformAdapter adapter = platform::makeAdapter();
     ServiceRegistry serviceRegistry;
     InstanceGroup group;
     int announced = 0;
     int pullsFromPeer = 0;
+    int pullsFromSilentPeer = 0;
     bool peerCompresses = false;
     std::uint64_t peerRevision = 50;
+    std::vector<StoreItem> peerItems{{"servers/i-9", serverText, 50, false}};
     StoreFollower follower;
 };
 
@@ -448,3 +467,58 @@
     BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-9") != nullptr; }));
     BOOST_TEST(pullsFromPeer == 1);
 }
+
+// Guards against asking an instance that does not answer again and again while another one has the same changes: an
+// upstream that had left kept getting requests (incident inc1).
+BOOST_FIXTURE_TEST_CASE(unresponsivePeersDoNotDelayChanges, Fixture)
+{
+    storeUnresponsive = true;
+    becomeActive();
+    auto silent = makeStatus(nearIp);
+    auto far = makeStatus(peerIp);
+    far.zone = "catania";
+    for (auto *status : {&silent, &far}) {
+        status->role = InstanceRole::Active;
+        status->storeRevision = 50;
+    }
+    const auto sendStatuses = [&] {
+        for (const auto &status : {silent, far}) {
+            group.receiveStatus(status, Clock::now());
+            follower.receivePeerStatus(status, Clock::now());
+        }
+    };
+    sendStatuses();
+    follower.start();
+    BOOST_TEST(runUntil([&] {
+        sendStatuses();
+        return serviceRegistry.upstreams().find("i-9") != nullptr;
+    }));
+    BOOST_TEST(pullsFromSilentPeer == 1);
+}
+
+// Guards against an instance that reports a copy which is more recent than it is: changes between the revision of its
+// source and that of the newest item were never asked for, such as the departure of an upstream (incident inc1).
+BOOST_FIXTURE_TEST_CASE(pulledItemsDoNotAdvanceTheRevision, Fixture)
+{
+    storeUnresponsive = true;
+    peerItems.push_back({"servers/i-8", serverText, 55, false});
+    becomeActive();
+    follower.start();
+    auto status = makeStatus(peerIp);
+    status.role = InstanceRole::Active;
+    status.storeRevision = 50;
+    group.receiveStatus(status, Clock::now());
+    follower.receivePeerStatus(status, Clock::now());
+    BOOST_TEST(runUntil([this] { return serviceRegistry.upstreams().find("i-8") != nullptr; }));
+    BOOST_TEST(follower.mirror().newestRevision() == 50U);
+    // The change in between is known to the other instance by now.
+    peerRevision = 56;
+    peerItems = {{"servers/i-7", serverText, 53, false}, {"servers/i-8", serverText, 55, false}};
+    status.storeRevision = 56;
+    BOOST_TEST(runUntil([&] {
+        group.receiveStatus(status, Clock::now());
+        follower.receivePeerStatus(status, Clock::now());
+        return follower.mirror().newestRevision() == 56U;
+    }));
+    BOOST_TEST(serviceRegistry.upstreams().find("i-7") != nullptr);
+}
