store follower: pulled items no longer advance the reported revision

Cause: an answer to a pull may hold items that are newer than the revision up to which the sender's copy is complete. Each of them advanced the puller's own revision. The changes between the two revisions were then never asked for and were found only by the comparison of digests, 1.2 s later. Change: only changes of the store advance the revision item by item; pulls and lists advance it as a whole, to the revision that their source states. Removals follow the same rule. Measured: pulledItemsDoNotAdvanceTheRevision reported 55 for a copy complete up to 50 and missed the change at 53 before, and passes now; the other cases of test_storefollower pass as before.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -473,7 +473,7 @@
         // The removal of an unknown item changes nothing. From another instance it is kept, so that both have
         // the same copy.
         if (known != nullptr || fromPeer) {
-            applyRemoval(item, now);
+            applyRemoval(item, source, now);
         }
         return;
     }
@@ -484,14 +484,14 @@
         m_pendingRemovals.erase(item.key);
     }
     // An entry that only renews its heartbeat is not kept. From another instance it is kept, so that both have
-    // the same copy. The parts of a list do not advance the revision, because other instances would take it for
-    // complete: an older change may be on a later page.
+    // the same copy. Only changes of the store advance the revision: an older change may be on a later page of a list,
+    // and another instance may send items that are newer than the revision up to which its copy is complete.
     if (changed || fromPeer) {
-        m_mirror.apply(std::move(item), changed && source != ItemSource::List);
+        m_mirror.apply(std::move(item), changed && source == ItemSource::Changes);
     }
 }
 
-void StoreFollower::applyRemoval(const StoreItem &item, TimePoint now)
+void StoreFollower::applyRemoval(const StoreItem &item, ItemSource source, TimePoint now)
 {
     const auto id = m_adapter.upstreamIdFromKey(item.key);
     if (!id.empty() && m_serviceRegistry.upstreams().find(id) != nullptr
@@ -503,7 +503,7 @@
     if (!id.empty()) {
         logEvent(LogLevel::Info, "upstream.removed", {{"upstream", id}, {"revision", item.revision}});
     }
-    m_mirror.apply(item);
+    m_mirror.apply(item, source == ItemSource::Changes);
 }
 
 /// Returns true if the item changes anything beyond its heartbeat.
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -84,13 +84,13 @@
     const InstanceStatus *newestPeer(bool ownZoneOnly) const;
     const InstanceStatus *differingPeer(TimePoint now);
     enum class ItemSource : std::uint8_t {
-        Peer, ///< another instance
+        Peer, ///< another instance; complete up to the revision that it states
         List, ///< a list of the store, which is complete only with its last page
         Changes, ///< the changes of the store
     };
 
     void applyItem(StoreItem item, ItemSource source, TimePoint now);
-    void applyRemoval(const StoreItem &item, TimePoint now);
+    void applyRemoval(const StoreItem &item, ItemSource source, TimePoint now);
     bool decodeAndApply(StoreItem &item, TimePoint now);
     void recordStoreAnswer(TimePoint now);
     void recordFleetAnswer(TimePoint at);
