store follower: an instance that does not answer is not asked again while another has the changes

Cause: the instance to pull from was chosen by its announced revision, zone and a hash, whether or not it had just failed to answer. Each failure cost 500 ms and a pause of 300 ms, and the next choice was the same one for as long as its revision was the newest, up to the 6 s after which a silent member is dropped. Change: an instance that fails a pull is avoided for 2 s while another one has newer changes, the next one is asked at once, and instances that are not active then pull from other zones without waiting. Measured: unresponsivePeersDoNotDelayChanges asked the silent instance 40 times in 20 s and never got the changes before; it asks once and passes now. All cases of test_storefollower pass.

--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds WatchWait{700};
 constexpr Milliseconds ReadTimeout{1000};
 constexpr Milliseconds PullTimeout{500};
+/// Time for which an instance that did not answer a pull is asked only if no other one has newer changes.
+constexpr Milliseconds PeerAvoidance{2000};
 /// Age from which a difference between two instances is not explained by a change that is still being passed on.
 constexpr Milliseconds DifferenceTimeout{1200};
 constexpr Milliseconds MaxPeerStatusAge{700};
@@ -181,8 +183,13 @@
 {
     const auto now = Clock::now();
     const auto *peer = newerPeer(now);
-    if (peer != nullptr && co_await pullFromPeer(peer->ip, m_mirror.newestRevision())) {
-        co_return;
+    const bool avoided = peer != nullptr && isAvoided(peer->ip, now);
+    if (peer != nullptr) {
+        const bool changed = co_await pullFromPeer(peer->ip, m_mirror.newestRevision());
+        // After a failure, another instance is asked at once. Each is avoided after its own failure, so this ends.
+        if (changed || (!avoided && isAvoided(peer->ip, Clock::now()))) {
+            co_return;
+        }
     }
     if (const auto *differing = differingPeer(now); differing != nullptr) {
         logEvent(LogLevel::Info, "group.differs", {{"from", differing->ip}, {"revision", m_mirror.newestRevision()}});
@@ -200,23 +207,31 @@
     m_peers = m_group.members(now);
     const bool ownZoneFirst
         = m_group.self().role != InstanceRole::Active && !m_group.activeInstances(m_settings.zone, now).empty();
-    const auto *best = newestPeer(ownZoneFirst);
-    if (best != nullptr || !ownZoneFirst) {
+    const auto *best = newestPeer(ownZoneFirst, now);
+    if (!ownZoneFirst || (best != nullptr && !isAvoided(best->ip, now))) {
         m_otherZoneNewerSince.reset();
         return best;
     }
-    best = newestPeer(false);
-    if (best == nullptr) {
+    const bool ownZoneFailed = best != nullptr;
+    best = newestPeer(false, now);
+    if (best == nullptr || ownZoneFailed) {
         m_otherZoneNewerSince.reset();
-        return nullptr;
+        return best;
     }
     m_otherZoneNewerSince = m_otherZoneNewerSince.value_or(now);
     return now - *m_otherZoneNewerSince >= OwnZoneTimeout ? best : nullptr;
 }
 
-/// Returns the instance with the newest changes, or null if none is newer than this one. Among equals, prefers those of
-/// the own zone.
-const InstanceStatus *StoreFollower::newestPeer(bool ownZoneOnly) const
+/// Whether the instance has not answered a pull lately.
+bool StoreFollower::isAvoided(const std::string &ip, TimePoint now) const
+{
+    const auto it = m_avoidedUntil.find(ip);
+    return it != m_avoidedUntil.end() && now < it->second;
+}
+
+/// Returns the instance with the newest changes, or null if none is newer than this one. Those that have not answered
+/// lately come last. Among equals, prefers those of the own zone.
+const InstanceStatus *StoreFollower::newestPeer(bool ownZoneOnly, TimePoint now) const
 {
     const InstanceStatus *best = nullptr;
     for (const auto &it : m_peers) {
@@ -224,8 +239,9 @@
             continue;
         }
         // The hash makes instances that start together pull from different ones among equals.
-        const auto rank = [this](const InstanceStatus &peer) {
-            return std::tuple(peer.storeRevision,
+        const auto rank = [this, now](const InstanceStatus &peer) {
+            return std::tuple(!isAvoided(peer.ip, now),
+                              peer.storeRevision,
                               peer.zone == m_settings.zone,
                               std::hash<std::string>()(m_settings.ip + '/' + peer.ip));
         };
@@ -246,7 +262,7 @@
         // The digests of all others are outdated, because they do not send their heartbeats to this instance.
         const bool sendsHeartbeatsHere = active || peer.zone == m_settings.zone;
         if (peer.role != InstanceRole::Active || !sendsHeartbeatsHere || peer.storeDigest == m_mirror.digest()
-            || m_group.statusAge(peer.ip, now) >= MaxPeerStatusAge) {
+            || m_group.statusAge(peer.ip, now) >= MaxPeerStatusAge || isAvoided(peer.ip, now)) {
             m_differences.erase(peer.ip);
             continue;
         }
@@ -282,8 +298,10 @@
                  "group.pull-failed",
                  {{"from", ip}, {"after", after}, {"status", reply.status}, {"error", reply.failure}, {"ms", took}});
         m_group.markUnresponsive(ip, now);
+        m_avoidedUntil[ip] = now + PeerAvoidance;
         co_return false;
     }
+    m_avoidedUntil.erase(ip);
     try {
         const auto body
             = reply.encoding == CompressedEncoding ? uncompress(reply.body, MaxPullBytes) : std::move(reply.body);
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -81,7 +81,8 @@
     awaitable<bool> pullFromPeer(const std::string &ip, std::uint64_t after);
     bool peerTimeoutExpired(TimePoint now) const;
     const InstanceStatus *newerPeer(TimePoint now);
-    const InstanceStatus *newestPeer(bool ownZoneOnly) const;
+    bool isAvoided(const std::string &ip, TimePoint now) const;
+    const InstanceStatus *newestPeer(bool ownZoneOnly, TimePoint now) const;
     const InstanceStatus *differingPeer(TimePoint now);
     enum class ItemSource : std::uint8_t {
         Peer, ///< another instance; complete up to the revision that it states
@@ -117,6 +118,7 @@
     std::optional<TimePoint> m_storeFailedSince;
     std::map<std::string, Difference>
         m_differences; ///< by address: active instances whose copy differs but is not newer
+    std::map<std::string, TimePoint> m_avoidedUntil; ///< by address: instances that did not answer a pull
     std::optional<TimePoint> m_otherZoneNewerSince; ///< since when only other zones have newer changes
     std::optional<TimePoint> m_lastFleetAnswer; ///< when the store last answered any instance
     Milliseconds m_storeDelay; ///< until the next check whether to read the store
