upstream pool: an upstream that says in an answer that it leaves gets no further requests

Cause: an upstream now announces its departure with every answer (Server-Leaving). Change: UpstreamConstraints keeps what an upstream has asked for, by its process, apart from the entries of the store; the pool asks it before each selection, also when no healthy upstream is left, and tells the other active instances at once. The header of an answer with status 421 belongs to another upstream and is ignored. With no usable upstream a request is refused at once.

--- /dev/null
+++ b/include/laburnumspar/upstreamconstraints.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "laburnumspar/types.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace laburnumspar {
+
+/// What an upstream asks of the instances with an answer.
+struct UpstreamNotice {
+    bool leaving = false; ///< it takes no new requests
+};
+
+/// Keeps what the upstreams of a service have asked for with their answers, and decides whether a request may be sent
+/// to one of them. Outlives the entries of the upstreams, so that a request that an upstream has made holds although
+/// its entry is removed and added again.
+class UpstreamConstraints
+{
+public:
+    /// `startedAtMs` identifies the process of the upstream; a notice of an earlier process is ignored, and one of a
+    /// later process replaces everything known.
+    void apply(const std::string &id, std::int64_t startedAtMs, const UpstreamNotice &notice, TimePoint now);
+    /// Forgets what an earlier process of the upstream has asked for.
+    void setProcess(const std::string &id, std::int64_t startedAtMs);
+    /// Whether a request may be sent to the upstream now.
+    bool allows(const std::string &id, TimePoint now) const;
+    /// Forgets what no longer matters. To be called periodically.
+    void prune(TimePoint now);
+
+private:
+    struct Constraint {
+        std::int64_t startedAtMs = 0;
+        TimePoint noticedAt; ///< arrival of the last notice
+        bool leaving = false;
+    };
+
+    std::map<std::string, Constraint> m_constraints; ///< by identity of the upstream
+};
+
+} // namespace laburnumspar
--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "laburnumspar/latencymodel.h"
+#include "laburnumspar/upstreamconstraints.h"
 #include "laburnumspar/upstreamregistry.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -62,6 +62,7 @@
         unsigned successes = 0;
         unsigned failures = 0;
         Milliseconds successAge{0}; ///< time since the newest successful attempt started
+        bool leaving = false; ///< the upstream takes no new requests
     };
 
     /// Availability zone of an upstream; empty if it is unknown.
@@ -102,6 +103,8 @@
     std::optional<Choice> startAttempt(const Request &request, TimePoint now);
     /// Frees the slot of the attempt and updates the estimates. Ignored if the upstream has been removed or restarted.
     void finishAttempt(AttemptId id, AttemptOutcome outcome, const std::optional<ReportedLoad> &load, TimePoint now);
+    /// Applies what an upstream has asked for with an answer to an attempt; `upstream` as in the choice of the attempt.
+    void receiveNotice(const RegisteredUpstream &upstream, const UpstreamNotice &notice, TimePoint now);
     /// Adds the evidence of another instance. Ignored if the upstream is unknown.
     void addRemoteObservation(const Observation &observation, TimePoint now);
     /// Returns the outcomes of attempts and the starts of trials on this instance since the last call. An unresponsive
@@ -112,10 +115,8 @@
     std::size_t inFlight(TimePoint now) const;
     /// Estimated number of free slots of healthy upstreams.
     double freeSlots(TimePoint now) const;
-    bool empty() const
-    {
-        return m_upstreams.empty();
-    }
+    /// Whether any upstream may receive requests, now or when a slot is free.
+    bool hasUsableUpstream(TimePoint now) const;
     bool contains(const std::string &id) const
     {
         return m_upstreams.contains(id);
@@ -148,6 +149,7 @@
         Observation pendingObservation; ///< not yet returned by takeObservations()
         bool timeoutReported = false; ///< its lack of response has been counted in an observation
         bool trialPending = false; ///< a trial has started since the last call of takeObservations()
+        bool noticePending = false; ///< a notice has arrived since the last call of takeObservations()
     };
 
     /// Probability of a fault, from finished attempts only.
@@ -155,7 +157,8 @@
     /// Probability of a fault, from finished and pending attempts.
     double faultProbability(const Upstream &upstream, TimePoint now) const;
     double externalLoadOf(const Upstream &upstream, TimePoint now) const;
-    bool hasFreeSlot(const Upstream &upstream, TimePoint now) const;
+    /// Whether a request may be sent to the upstream now and it has a free slot.
+    bool isAvailable(const Upstream &upstream, TimePoint now) const;
     /// Best upstream for the request and its probability of a fault; null if none has a free slot. Of any health if
     /// `anyHealth` is set.
     std::pair<Upstream *, double> selectUpstream(const Request &request, bool anyHealth, TimePoint now);
@@ -180,6 +183,7 @@
     IsExplorer m_isExplorer;
     TimePoint m_stateUpdatedAt;
     std::map<std::string, Upstream> m_upstreams;
+    UpstreamConstraints m_constraints;
     std::map<AttemptId, std::string> m_attempts; ///< identity of the upstream by pending attempt
 };
 
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -46,6 +46,13 @@
     return load;
 }
 
+UpstreamNotice parseNotice(const UpstreamMessage &message, const ForwardingHeaders &names)
+{
+    UpstreamNotice notice;
+    notice.leaving = message[names.leaving] == "1";
+    return notice;
+}
+
 /// Whether the status tells the caller that its request has not run.
 bool impliesNotRun(unsigned status)
 {
@@ -124,7 +131,7 @@
 
 void Forwarding::enqueue(TimePoint now)
 {
-    if (m_service.pool.empty()) {
+    if (!m_service.pool.hasUsableUpstream(now)) {
         refuse("no upstream known", now);
         return;
     }
@@ -200,7 +207,7 @@
         std::move(upstreamRequest), [self = shared_from_this(), id = choice.attempt](ExchangeResult result) {
             self->onResult(id, std::move(result));
         });
-    m_attempts.push_back({choice.attempt, upstream.id, now, choice.faultProbability, std::move(exchange)});
+    m_attempts.push_back({choice.attempt, upstream, now, choice.faultProbability, std::move(exchange)});
     armHedgeTimer(choice.faultProbability, now);
 }
 
@@ -222,6 +229,10 @@
         m_service.pool.finishAttempt(id, outcome, load, now);
         reportAttempt(attempt, outcome, status, detail, now);
     };
+    // An answer with status 421 comes from another upstream at the same address.
+    if (result.outcome == ExchangeOutcome::Answered && status != 421) {
+        m_service.pool.receiveNotice(attempt.upstream, parseNotice(message, names), now);
+    }
     if (result.outcome == ExchangeOutcome::NotSent) {
         finishAttempt(AttemptOutcome::Unreachable, result.failure);
         onNotRun(attempt, AttemptOutcome::Unreachable, now);
@@ -232,8 +243,8 @@
         const auto outcome = status == 503 || status == 429 ? AttemptOutcome::Full : AttemptOutcome::Refused;
         finishAttempt(outcome, "not run");
         if (status == 421) {
-            m_forwarder.m_serviceRegistry.removeFromPools(attempt.upstream);
-            m_forwarder.m_connections.closeIdle(attempt.upstream);
+            m_forwarder.m_serviceRegistry.removeFromPools(attempt.upstream.id);
+            m_forwarder.m_connections.closeIdle(attempt.upstream.id);
         }
         onNotRun(attempt, outcome, now);
     } else if (!result.identified || message.find(names.signature) == message.end()
@@ -260,7 +271,7 @@
     --m_runs;
     if (outcome == AttemptOutcome::Full) {
         // The upstream may have a free slot later.
-        std::erase(m_triedUpstreams, attempt.upstream);
+        std::erase(m_triedUpstreams, attempt.upstream.id);
     }
     if (!m_handler || !m_attempts.empty()) {
         return;
@@ -427,7 +438,7 @@
 {
     report(AttemptReport{m_request.id,
                          m_service.name,
-                         attempt.upstream,
+                         attempt.upstream.id,
                          attempt.faultProbability,
                          outcome,
                          status,
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -36,7 +36,7 @@
 private:
     struct Attempt {
         UpstreamPool::AttemptId id = 0;
-        std::string upstream;
+        RegisteredUpstream upstream;
         TimePoint started;
         double faultProbability = 0;
         std::shared_ptr<Exchange> exchange;
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t HeartbeatMagic = 0x4c424732; // "LBG2"
+constexpr std::uint32_t HeartbeatMagic = 0x4c424733; // "LBG3"
 constexpr std::uint32_t ChangesMagic = 0x4c424d31; // "LBM1"
 constexpr std::size_t MaxIdLength = 255;
 constexpr unsigned MaxCount = 255;
@@ -123,7 +123,8 @@
                StringField{it.counts.id, MaxIdLength},
                std::uint8_t(std::min(it.counts.successes, MaxCount)),
                std::uint8_t(std::min(it.counts.failures, MaxCount)),
-               encodeAge(it.counts.successAge));
+               encodeAge(it.counts.successAge),
+               BoolField{it.counts.leaving});
         }
     });
 }
@@ -153,6 +154,8 @@
             it.counts.successes = unsigned(loadNumber<std::uint8_t>(ar));
             it.counts.failures = unsigned(loadNumber<std::uint8_t>(ar));
             it.counts.successAge = Milliseconds(loadNumber<std::uint16_t>(ar));
+            BoolField leaving{it.counts.leaving};
+            ar(leaving);
         }
     });
     return heartbeat;
--- a/src/gateway/observationbuffer.cpp
+++ b/src/gateway/observationbuffer.cpp
@@ -17,18 +17,20 @@
                             TimePoint now)
 {
     const auto &counts = observation.counts;
-    const bool trialStarted = counts.successes + counts.failures == 0;
+    const bool trialStarted = counts.successes + counts.failures == 0 && !counts.leaving;
+    const bool urgent = counts.failures > 0 || counts.leaving;
     for (const auto &zone : zones) {
         const bool ownZone = zone == observation.zone;
         if (trialStarted && !ownZone) {
             continue;
         }
-        const auto dueAt = ownZone || counts.failures > 0 ? now : now + OtherZoneDelay;
+        const auto dueAt = ownZone || urgent ? now : now + OtherZoneDelay;
         auto &pending = m_pending[zone];
         const auto [it, added] = pending.try_emplace(counts.id, Pending{observation, now - counts.successAge, dueAt});
         if (!added) {
             it->second.observation.counts.successes += counts.successes;
             it->second.observation.counts.failures += counts.failures;
+            it->second.observation.counts.leaving |= counts.leaving;
             it->second.newestSuccess = std::max(it->second.newestSuccess, now - counts.successAge);
             it->second.dueAt = std::min(it->second.dueAt, dueAt);
         }
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -108,6 +108,7 @@
         remove(entry.id);
         return;
     }
+    m_constraints.setProcess(entry.id, entry.startedAtMs);
     const auto [it, added] = m_upstreams.try_emplace(entry.id);
     auto &upstream = it->second;
     // What was learned about an earlier process with this identity does not apply to a new one.
@@ -170,7 +171,7 @@
     double bestCost = 0;
     double bestFault = 0;
     for (auto &[id, upstream] : m_upstreams) {
-        if (!hasFreeSlot(upstream, now)
+        if (!isAvailable(upstream, now)
             || std::find(request.exclude.begin(), request.exclude.end(), id) != request.exclude.end()) {
             continue;
         }
@@ -243,6 +244,23 @@
     }
 }
 
+void UpstreamPool::receiveNotice(const RegisteredUpstream &upstream, const UpstreamNotice &notice, TimePoint now)
+{
+    const auto it = m_upstreams.find(upstream.id);
+    const bool current = it != m_upstreams.end() && it->second.entry.startedAtMs == upstream.startedAtMs;
+    // A late answer of an earlier process says nothing about the one that has taken its identity.
+    if (!current && it != m_upstreams.end()) {
+        return;
+    }
+    m_constraints.apply(upstream.id, upstream.startedAtMs, notice, now);
+    if (!current) {
+        return;
+    }
+    auto &pending = it->second.pendingObservation;
+    it->second.noticePending = it->second.noticePending || (notice.leaving && !pending.leaving);
+    pending.leaving = pending.leaving || notice.leaving;
+}
+
 void UpstreamPool::addRemoteObservation(const Observation &observation, TimePoint now)
 {
     const auto it = m_upstreams.find(observation.id);
@@ -260,6 +278,7 @@
     }
     addEvidence(upstream, RemoteEvidenceWeight * evidence, now);
     upstream.lastAttempt = now;
+    m_constraints.apply(observation.id, upstream.entry.startedAtMs, {observation.leaving}, now);
 }
 
 std::vector<UpstreamPool::Observation> UpstreamPool::takeObservations(TimePoint now)
@@ -271,11 +290,13 @@
             ++upstream.pendingObservation.failures;
             upstream.timeoutReported = true;
         }
-        if (upstream.pendingObservation.successes + upstream.pendingObservation.failures > 0 || upstream.trialPending) {
+        if (upstream.pendingObservation.successes + upstream.pendingObservation.failures > 0 || upstream.trialPending
+            || upstream.noticePending) {
             observations.push_back(std::exchange(upstream.pendingObservation, {}));
             observations.back().id = id;
             observations.back().successAge = std::chrono::duration_cast<Milliseconds>(now - upstream.lastSuccessStart);
             upstream.trialPending = false;
+            upstream.noticePending = false;
         }
     }
     return observations;
@@ -296,11 +317,17 @@
     return total;
 }
 
+bool UpstreamPool::hasUsableUpstream(TimePoint now) const
+{
+    return std::any_of(
+        m_upstreams.begin(), m_upstreams.end(), [&](const auto &it) { return m_constraints.allows(it.first, now); });
+}
+
 double UpstreamPool::freeSlots(TimePoint now) const
 {
     double total = 0;
     for (const auto &[id, upstream] : m_upstreams) {
-        if (faultProbabilityFromFinished(upstream, now) > FaultyThreshold) {
+        if (!m_constraints.allows(id, now) || faultProbabilityFromFinished(upstream, now) > FaultyThreshold) {
             continue;
         }
         const double taken = double(upstream.inFlight.size()) + externalLoadOf(upstream, now);
@@ -344,9 +371,9 @@
     return upstream.externalLoad * std::exp2(-seconds(now - upstream.externalLoadAt) / ExternalLoadHalfLifeSeconds);
 }
 
-bool UpstreamPool::hasFreeSlot(const Upstream &upstream, TimePoint now) const
+bool UpstreamPool::isAvailable(const Upstream &upstream, TimePoint now) const
 {
-    return now >= upstream.fullUntil
+    return m_constraints.allows(upstream.entry.id, now) && now >= upstream.fullUntil
         && double(upstream.inFlight.size()) + externalLoadOf(upstream, now) + 0.5 < double(upstream.entry.slots);
 }
 
@@ -408,7 +435,8 @@
 bool UpstreamPool::hasHealthyUpstream(TimePoint now) const
 {
     return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &it) {
-        return faultProbabilityFromFinished(it.second, now) <= FinalAttemptFaultyThreshold;
+        return m_constraints.allows(it.first, now)
+            && faultProbabilityFromFinished(it.second, now) <= FinalAttemptFaultyThreshold;
     });
 }
 
@@ -426,9 +454,13 @@
     double sum = 0;
     std::size_t healthy = 0;
     std::size_t idle = 0;
+    m_constraints.prune(now);
     for (auto &[id, upstream] : m_upstreams) {
         const double fault = faultProbabilityFromFinished(upstream, now);
         sum += fault;
+        if (!m_constraints.allows(id, now)) {
+            continue;
+        }
         upstream.explored = !m_isExplorer || m_isExplorer(upstream.entry);
         healthy += upstream.explored && fault <= FaultyThreshold ? 1 : 0;
         idle += upstream.explored && isIdle(upstream, now) ? 1 : 0;
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -15,7 +15,7 @@
 const Endpoint secondAddress{loopbackAddress(2), 27912};
 
 constexpr std::size_t MaxPendingBytes = 1 << 20;
-const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run"};
+const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Leaving"};
 
 std::shared_ptr<const RouteTable> makeTable(bool idempotent)
 {
@@ -250,3 +250,53 @@
     BOOST_REQUIRE(firstCancellation);
     BOOST_TEST(!firstCancellation->isCancelled());
 }
+
+// Guards against requests to an upstream that leaves, as its answers say, while the store still names it as serving.
+BOOST_FIXTURE_TEST_CASE(answersThatAnnounceADepartureEndTheUse, Fixture)
+{
+    serviceRegistry.applyRoutes(makeTable(false));
+    addUpstream("i-1", firstAddress);
+    int firstRuns = 0;
+    firstAnswer = [&](const HttpRequest &request) {
+        ++firstRuns;
+        auto response = signedAnswer(request, http::status::ok);
+        response.set(headers.leaving, "1");
+        return response;
+    };
+    secondAnswer = [](const HttpRequest &request) { return signedAnswer(request, http::status::ok); };
+    BOOST_TEST(sendAndWait() == 200U);
+    // No other upstream is known, so the caller is told at once that its request has not run.
+    const auto begin = Clock::now();
+    BOOST_TEST(sendAndWait() == 503U);
+    BOOST_TEST((Clock::now() - begin < 1s));
+    addUpstream("i-1", firstAddress);
+    addUpstream("i-2", secondAddress);
+    for (int n = 0; n < 10; ++n) {
+        BOOST_TEST(sendAndWait() == 200U);
+    }
+    BOOST_TEST(firstRuns == 1);
+}
+
+// Guards against taking an upstream out of use because another one at its former address leaves.
+BOOST_FIXTURE_TEST_CASE(departureOfAnotherUpstreamAtTheAddressIsIgnored, Fixture)
+{
+    serviceRegistry.applyRoutes(makeTable(false));
+    serviceRegistry.divideRetryReserve(1);
+    addUpstream("i-1", firstAddress);
+    addUpstream("i-2", secondAddress);
+    firstAnswer = [&](const HttpRequest &request) {
+        auto response = signedAnswer(request, http::status::misdirected_request);
+        response.set(headers.notRun, "1");
+        response.set(headers.leaving, "1");
+        return response;
+    };
+    secondAnswer = [](const HttpRequest &request) { return signedAnswer(request, http::status::ok); };
+    for (int n = 0; n < 10; ++n) {
+        BOOST_TEST(sendAndWait() == 200U);
+    }
+    // The address is in use by the upstream again.
+    serviceRegistry.removeFromPools("i-2");
+    firstAnswer = secondAnswer;
+    serviceRegistry.service("orders").pool.put(*serviceRegistry.upstreams().find("i-1"), Clock::now());
+    BOOST_TEST(sendAndWait() == 200U);
+}
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -20,7 +20,7 @@
     known.status = {"10.2.0.1", "catania", 41, InstanceRole::Spare, 500};
     known.age = Milliseconds(700);
     heartbeat.knownInstances.push_back(known);
-    heartbeat.observations.push_back({"orders", {"i-1", 3, 1, Milliseconds(1500)}});
+    heartbeat.observations.push_back({"orders", {"i-1", 3, 1, Milliseconds(1500), true}});
     return heartbeat;
 }
 
@@ -46,6 +46,7 @@
     BOOST_TEST(heartbeat.observations[0].counts.successes == 3U);
     BOOST_TEST(heartbeat.observations[0].counts.failures == 1U);
     BOOST_TEST(heartbeat.observations[0].counts.successAge.count() == 1500);
+    BOOST_TEST(heartbeat.observations[0].counts.leaving);
 }
 
 // Guards against datagrams that are fragmented because they exceed the usual Ethernet frame.
--- a/tests/test_upstreampool.cpp
+++ b/tests/test_upstreampool.cpp
@@ -439,3 +439,46 @@
         BOOST_TEST(counts[id] > 0);
     }
 }
+
+// Guards against requests to an upstream that has said with an answer that it leaves, while its entry in the store
+// still says that it serves.
+BOOST_FIXTURE_TEST_CASE(upstreamThatSaysItLeavesReceivesNoRequests, Fixture)
+{
+    pool.receiveNotice(makeUpstream("a"), {.leaving = true}, now);
+    BOOST_TEST(countChoices(false, 100)["a"] == 0);
+    BOOST_TEST(countChoices(true, 100)["a"] == 0);
+    BOOST_TEST(!start(false, {"b", "c", "d"}));
+    // The heartbeat that follows is older than the notice, or the entry lapses and is added again.
+    pool.put(makeUpstream("a"), now);
+    pool.remove("a");
+    pool.put(makeUpstream("a"), now);
+    now += 20s;
+    BOOST_TEST(countChoices(false, 100)["a"] == 0);
+}
+
+// Guards against an upstream that stays out of use after its restart under the same identity.
+BOOST_FIXTURE_TEST_CASE(departureEndsWithTheProcess, Fixture)
+{
+    auto restarted = makeUpstream("a");
+    restarted.startedAtMs = 5;
+    pool.receiveNotice(makeUpstream("a"), {.leaving = true}, now);
+    pool.put(restarted, now);
+    BOOST_TEST(start(false, {"b", "c", "d"}).has_value());
+    // The last answer of the earlier process arrives late.
+    pool.receiveNotice(makeUpstream("a"), {.leaving = true}, now);
+    BOOST_TEST(start(false, {"b", "c", "d"}).has_value());
+}
+
+// Guards against other instances that keep using a leaving upstream while the store does not tell them.
+BOOST_FIXTURE_TEST_CASE(departuresAreReportedToOtherInstances, Fixture)
+{
+    pool.receiveNotice(makeUpstream("a"), {.leaving = true}, now);
+    const auto observations = pool.takeObservations(now);
+    BOOST_REQUIRE(observations.size() == 1U);
+    BOOST_TEST(observations[0].leaving);
+    UpstreamPool other("catania", 2);
+    other.put(makeUpstream("a"), now);
+    other.addRemoteObservation(observations[0], now);
+    BOOST_TEST(!other.hasUsableUpstream(now));
+    BOOST_TEST(!other.startAttempt({&latency, false, true, {}}, now));
+}
