upstream pool: the pause that a refusing upstream asks for is kept

The pool avoided an upstream that is full for 80 ms only. Change: UpstreamConstraints keeps the end of the pause, whatever becomes of the entry of the upstream in the meantime; no selection passes it, not even that without a healthy upstream. The pool tells when the first upstream is usable again: a request that cannot be started before its deadline is refused at once, and its Retry-After is not shorter than the pause. Measured: pauseThatAnUpstreamAsksForIsKept with the pause ignored: 5 requests reached the upstream instead of one, and the callers got a Retry-After of 0.1 s instead of 4.5 s; it passes now, like the two cases of the pool.

--- a/include/laburnumspar/upstreamconstraints.h
+++ b/include/laburnumspar/upstreamconstraints.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace laburnumspar {
@@ -11,6 +12,7 @@
 /// What an upstream asks of the instances with an answer.
 struct UpstreamNotice {
     bool leaving = false; ///< it takes no new requests
+    Milliseconds pause{0}; ///< it has refused the request and wants none from this instance for this time
 };
 
 /// Keeps what the upstreams of a service have asked for with their answers, and decides whether a request may be sent
@@ -25,7 +27,13 @@
     /// Forgets what an earlier process of the upstream has asked for.
     void setProcess(const std::string &id, std::int64_t startedAtMs);
     /// Whether a request may be sent to the upstream now.
-    bool allows(const std::string &id, TimePoint now) const;
+    bool allows(const std::string &id, TimePoint now) const
+    {
+        const auto from = allowedFrom(id, now);
+        return from && *from <= now;
+    }
+    /// Earliest time at which a request may be sent to the upstream; nothing if that will never be.
+    std::optional<TimePoint> allowedFrom(const std::string &id, TimePoint now) const;
     /// Forgets what no longer matters. To be called periodically.
     void prune(TimePoint now);
 
@@ -34,6 +42,7 @@
         std::int64_t startedAtMs = 0;
         TimePoint noticedAt; ///< arrival of the last notice
         bool leaving = false;
+        TimePoint pausedUntil;
     };
 
     std::map<std::string, Constraint> m_constraints; ///< by identity of the upstream
--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -115,8 +115,8 @@
     std::size_t inFlight(TimePoint now) const;
     /// Estimated number of free slots of healthy upstreams.
     double freeSlots(TimePoint now) const;
-    /// Whether any upstream may receive requests, now or when a slot is free.
-    bool hasUsableUpstream(TimePoint now) const;
+    /// Earliest time at which an upstream may receive a request if it has a free slot; nothing if none ever may.
+    std::optional<TimePoint> usableFrom(TimePoint now) const;
     bool contains(const std::string &id) const
     {
         return m_upstreams.contains(id);
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -26,6 +26,8 @@
 constexpr double MinRetriesForTrials = 4;
 /// An answer is sent this long before the caller's deadline, so that it arrives in time.
 constexpr Milliseconds AnswerMargin{20};
+/// Larger values of a Retry-After header count as this one.
+constexpr double MaxPauseSeconds = 3600;
 constexpr Milliseconds MinRetryAfter{100};
 constexpr Milliseconds MaxRetryAfter{2000};
 /// An attempt that is cancelled before this quantile of the route's latencies does not count against its upstream.
@@ -46,10 +48,23 @@
     return load;
 }
 
+/// Parses a decimal number that is not negative.
+std::optional<double> parseNumber(beast::string_view value)
+{
+    double number = 0;
+    const char *end = value.data() + value.size();
+    const auto [next, ec] = std::from_chars(value.data(), end, number);
+    return ec == std::errc() && next == end && number >= 0 ? std::optional(number) : std::nullopt;
+}
+
 UpstreamNotice parseNotice(const UpstreamMessage &message, const ForwardingHeaders &names)
 {
     UpstreamNotice notice;
     notice.leaving = message[names.leaving] == "1";
+    if (message.result() == http::status::service_unavailable) {
+        const auto pause = parseNumber(message[http::field::retry_after]);
+        notice.pause = Milliseconds(std::int64_t(1000 * std::min(pause.value_or(0), MaxPauseSeconds)));
+    }
     return notice;
 }
 
@@ -131,11 +146,7 @@
 
 void Forwarding::enqueue(TimePoint now)
 {
-    if (!m_service.pool.hasUsableUpstream(now)) {
-        refuse("no upstream known", now);
-        return;
-    }
-    if (m_queueEntry) {
+    if (refuseWithoutUpstream(now) || m_queueEntry) {
         return;
     }
     const auto objective
@@ -150,6 +161,18 @@
     }
 }
 
+/// Refuses the request if no upstream may receive it in time. Returns whether it did.
+bool Forwarding::refuseWithoutUpstream(TimePoint now)
+{
+    const auto usableFrom = m_service.pool.usableFrom(now);
+    const auto latestStart = m_deadline - m_latency.quantile(MinTimeLeftQuantile);
+    if (usableFrom && *usableFrom <= std::max(latestStart, now)) {
+        return false;
+    }
+    refuse(usableFrom ? "all upstreams have asked for a pause" : "no upstream known", now);
+    return true;
+}
+
 void Forwarding::dequeue()
 {
     if (m_queueEntry) {
@@ -161,7 +184,7 @@
 
 void Forwarding::refuseIfLate(TimePoint now)
 {
-    if (!m_queueEntry) {
+    if (!m_queueEntry || refuseWithoutUpstream(now)) {
         return;
     }
     // Requests past their latest start are overtaken by all others, so their expected wait counts twice; the expected
@@ -362,7 +385,9 @@
 
 void Forwarding::refuse(std::string_view detail, TimePoint now)
 {
-    const auto retryAfter = std::clamp(expectedWait(now), MinRetryAfter, MaxRetryAfter);
+    const auto usableFrom = m_service.pool.usableFrom(now).value_or(now);
+    const auto pause = std::chrono::ceil<Milliseconds>(usableFrom - now);
+    const auto retryAfter = std::max(pause, std::clamp(expectedWait(now), MinRetryAfter, MaxRetryAfter));
     answer(makeLocalAnswer(http::status::service_unavailable, detail, m_request.id, m_forwarder.m_headers, retryAfter),
            Outcome::NotRun,
            detail,
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -48,6 +48,7 @@
     void startAttempt(const UpstreamPool::Choice &choice, TimePoint now);
     void enqueue(TimePoint now);
     void dequeue();
+    bool refuseWithoutUpstream(TimePoint now);
     void onResult(UpstreamPool::AttemptId id, ExchangeResult result);
     void onNotRun(const Attempt &attempt, AttemptOutcome outcome, TimePoint now);
     void onFailed(TimePoint now);
--- a/src/upstreamconstraints.cpp
+++ b/src/upstreamconstraints.cpp
@@ -1,11 +1,15 @@
 #include "laburnumspar/upstreamconstraints.h"
 
+#include <algorithm>
+
 namespace laburnumspar {
 
 namespace {
 
 /// An upstream that leaves has stopped long before.
 constexpr Milliseconds MaxConstraintAge{600'000};
+/// A longer pause counts as this one, so that a wrong value does not take an upstream out of use for good.
+constexpr Milliseconds MaxPause{300'000};
 
 } // namespace
 
@@ -15,7 +19,8 @@
                                 TimePoint now)
 {
     const auto known = m_constraints.find(id);
-    if (known == m_constraints.end() && !notice.leaving) {
+    const bool asksForNothing = !notice.leaving && notice.pause.count() <= 0;
+    if (known == m_constraints.end() && asksForNothing) {
         return;
     }
     if (known != m_constraints.end() && startedAtMs < known->second.startedAtMs) {
@@ -26,6 +31,7 @@
     constraint.startedAtMs = startedAtMs;
     constraint.noticedAt = now;
     constraint.leaving = constraint.leaving || notice.leaving;
+    constraint.pausedUntil = std::max(constraint.pausedUntil, now + std::min(notice.pause, MaxPause));
 }
 
 void UpstreamConstraints::setProcess(const std::string &id, std::int64_t startedAtMs)
@@ -36,10 +42,16 @@
     }
 }
 
-bool UpstreamConstraints::allows(const std::string &id, TimePoint) const
+std::optional<TimePoint> UpstreamConstraints::allowedFrom(const std::string &id, TimePoint now) const
 {
     const auto it = m_constraints.find(id);
-    return it == m_constraints.end() || !it->second.leaving;
+    if (it == m_constraints.end()) {
+        return now;
+    }
+    if (it->second.leaving) {
+        return std::nullopt;
+    }
+    return std::max(now, it->second.pausedUntil);
 }
 
 void UpstreamConstraints::prune(TimePoint now)
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -317,10 +317,19 @@
     return total;
 }
 
-bool UpstreamPool::hasUsableUpstream(TimePoint now) const
+std::optional<TimePoint> UpstreamPool::usableFrom(TimePoint now) const
 {
-    return std::any_of(
-        m_upstreams.begin(), m_upstreams.end(), [&](const auto &it) { return m_constraints.allows(it.first, now); });
+    std::optional<TimePoint> earliest;
+    for (const auto &[id, upstream] : m_upstreams) {
+        const auto from = m_constraints.allowedFrom(id, now);
+        if (from && *from <= now) {
+            return now;
+        }
+        if (from && (!earliest || *from < *earliest)) {
+            earliest = from;
+        }
+    }
+    return earliest;
 }
 
 double UpstreamPool::freeSlots(TimePoint now) const
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -300,3 +300,27 @@
     serviceRegistry.service("orders").pool.put(*serviceRegistry.upstreams().find("i-1"), Clock::now());
     BOOST_TEST(sendAndWait() == 200U);
 }
+
+// Guards against more requests from this instance to an upstream that has refused one and asked for a pause, and
+// against callers that wait for it until their deadline.
+BOOST_FIXTURE_TEST_CASE(pauseThatAnUpstreamAsksForIsKept, Fixture)
+{
+    serviceRegistry.applyRoutes(makeTable(false));
+    serviceRegistry.divideRetryReserve(1);
+    addUpstream("i-1", firstAddress);
+    int arrived = 0;
+    firstAnswer = [&](const HttpRequest &request) {
+        ++arrived;
+        auto response = signedAnswer(request, http::status::service_unavailable);
+        response.set(headers.notRun, "1");
+        response.set(http::field::retry_after, "4.5");
+        return response;
+    };
+    const auto begin = Clock::now();
+    for (int n = 0; n < 5; ++n) {
+        BOOST_TEST(sendAndWait() == 503U);
+        BOOST_TEST(std::stod(std::string((*answer)[http::field::retry_after])) > 3.0);
+    }
+    BOOST_TEST((Clock::now() - begin < 2s));
+    BOOST_TEST(arrived == 1);
+}
--- a/tests/test_upstreampool.cpp
+++ b/tests/test_upstreampool.cpp
@@ -479,6 +479,35 @@
     UpstreamPool other("catania", 2);
     other.put(makeUpstream("a"), now);
     other.addRemoteObservation(observations[0], now);
-    BOOST_TEST(!other.hasUsableUpstream(now));
+    BOOST_TEST(!other.usableFrom(now));
     BOOST_TEST(!other.startAttempt({&latency, false, true, {}}, now));
 }
+
+// Guards against requests to an upstream that has refused one and asked for a pause.
+BOOST_FIXTURE_TEST_CASE(pausedUpstreamReceivesNoRequests, Fixture)
+{
+    pool.receiveNotice(makeUpstream("a"), {.pause = 2s}, now);
+    BOOST_TEST(countChoices(false, 100)["a"] == 0);
+    BOOST_TEST(countChoices(true, 100)["a"] == 0);
+    // An answer to an earlier request does not end the pause, and neither does a new entry of the same process.
+    now += 1s;
+    pool.receiveNotice(makeUpstream("a"), {}, now);
+    pool.remove("a");
+    pool.put(makeUpstream("a"), now);
+    BOOST_TEST(!start(false, {"b", "c", "d"}));
+    now += 999ms;
+    BOOST_TEST(!start(false, {"b", "c", "d"}));
+    now += 1ms;
+    BOOST_TEST(start(false, {"b", "c", "d"}).has_value());
+}
+
+// Guards against requests that wait for upstreams of which it is known that they take none in time.
+BOOST_FIXTURE_TEST_CASE(endOfThePauseIsKnown, Fixture)
+{
+    for (const auto *id : {"a", "b", "c", "d"}) {
+        pool.receiveNotice(makeUpstream(id), {.pause = *id == 'c' ? 1500ms : 4000ms}, now);
+    }
+    BOOST_TEST(!start(false));
+    BOOST_REQUIRE(pool.usableFrom(now));
+    BOOST_TEST((*pool.usableFrom(now) == now + 1500ms));
+}
