upstream pool: the request rate that an upstream names is one for all instances together

Change: the rate is divided among the active instances (UpstreamAssignment, formerly ExplorerAssignment, decides for the group: four fifths to the upstream's zone, one fifth to the others, nothing to instances that are not active). UpstreamConstraints keeps each share as a token bucket of half a second. The newest rate travels with the observations; what an instance has been told itself goes first. Faulty upstreams are not used instead of healthy ones that take a request within a second.

--- a/include/laburnumspar/gateway.h
+++ b/include/laburnumspar/gateway.h
@@ -23,6 +23,7 @@
     std::string expectedIdentity; ///< an upstream with another identity refuses the request
     std::string load; ///< running requests, waiting requests and slots of the upstream, separated by commas
     std::string notRun; ///< present if the upstream has not run the request and will not run it
+    std::string requestRate; ///< requests per second that the upstream takes from all instances together
     std::string leaving; ///< "1" in the answers of an upstream that takes no new requests
 };
 
--- a/include/laburnumspar/upstreamconstraints.h
+++ b/include/laburnumspar/upstreamconstraints.h
@@ -3,6 +3,7 @@
 #include "laburnumspar/types.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,6 +14,9 @@
 struct UpstreamNotice {
     bool leaving = false; ///< it takes no new requests
     Milliseconds pause{0}; ///< it has refused the request and wants none from this instance for this time
+    double requestRate = Unlimited; ///< requests per second that it takes from all instances together
+
+    static constexpr double Unlimited = std::numeric_limits<double>::infinity();
 };
 
 /// Keeps what the upstreams of a service have asked for with their answers, and decides whether a request may be sent
@@ -22,18 +26,23 @@
 {
 public:
     /// `startedAtMs` identifies the process of the upstream; a notice of an earlier process is ignored, and one of a
-    /// later process replaces everything known.
-    void apply(const std::string &id, std::int64_t startedAtMs, const UpstreamNotice &notice, TimePoint now);
+    /// later process replaces everything known. Returns whether the upstream asks for something else than before.
+    bool apply(const std::string &id, std::int64_t startedAtMs, const UpstreamNotice &notice, TimePoint now);
     /// Forgets what an earlier process of the upstream has asked for.
     void setProcess(const std::string &id, std::int64_t startedAtMs);
-    /// Whether a request may be sent to the upstream now.
-    bool allows(const std::string &id, TimePoint now) const
+    /// Whether a request may be sent to the upstream now. `rateShare`: share of its request rate that this instance may
+    /// use, 0 to 1.
+    bool allows(const std::string &id, double rateShare, TimePoint now) const
     {
-        const auto from = allowedFrom(id, now);
+        const auto from = allowedFrom(id, rateShare, now);
         return from && *from <= now;
     }
     /// Earliest time at which a request may be sent to the upstream; nothing if that will never be.
-    std::optional<TimePoint> allowedFrom(const std::string &id, TimePoint now) const;
+    std::optional<TimePoint> allowedFrom(const std::string &id, double rateShare, TimePoint now) const;
+    /// Counts a request that is sent to the upstream.
+    void recordRequest(const std::string &id, double rateShare, TimePoint now);
+    /// Request rate that the upstream has named last; UpstreamNotice::Unlimited if none.
+    double requestRate(const std::string &id) const;
     /// Forgets what no longer matters. To be called periodically.
     void prune(TimePoint now);
 
@@ -43,8 +52,13 @@
         TimePoint noticedAt; ///< arrival of the last notice
         bool leaving = false;
         TimePoint pausedUntil;
+        double requestRate = UpstreamNotice::Unlimited;
+        double allowance = 0; ///< number of requests that may be sent at `allowanceAt`
+        TimePoint allowanceAt;
     };
 
+    static double allowance(const Constraint &constraint, double rateShare, TimePoint now);
+
     std::map<std::string, Constraint> m_constraints; ///< by identity of the upstream
 };
 
--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -63,6 +63,7 @@
         unsigned failures = 0;
         Milliseconds successAge{0}; ///< time since the newest successful attempt started
         bool leaving = false; ///< the upstream takes no new requests
+        std::optional<double> requestRate{}; ///< as in UpstreamNotice, if it has been or is limited
     };
 
     /// Availability zone of an upstream; empty if it is unknown.
@@ -85,6 +86,8 @@
 
     /// Whether this instance is the one that finds out about the health of an upstream for all instances.
     using IsExplorer = std::function<bool(const RegisteredUpstream &)>;
+    /// Share of an upstream's request rate that this instance may use, 0 to 1.
+    using RateShare = std::function<double(const RegisteredUpstream &)>;
 
     /// `zone`: availability zone of this instance. `seed`: of the random part of the selection.
     UpstreamPool(std::string zone, std::uint64_t seed);
@@ -95,6 +98,12 @@
         m_isExplorer = std::move(isExplorer);
     }
 
+    /// Until this is set, the instance may use the whole request rate of each upstream.
+    void setRateShare(RateShare rateShare)
+    {
+        m_rateShare = std::move(rateShare);
+    }
+
     /// Adds or updates an upstream; removes it if it is draining.
     void put(const RegisteredUpstream &entry, TimePoint now);
     void remove(const std::string &id);
@@ -104,7 +113,8 @@
     /// Frees the slot of the attempt and updates the estimates. Ignored if the upstream has been removed or restarted.
     void finishAttempt(AttemptId id, AttemptOutcome outcome, const std::optional<ReportedLoad> &load, TimePoint now);
     /// Applies what an upstream has asked for with an answer to an attempt; `upstream` as in the choice of the attempt.
-    void receiveNotice(const RegisteredUpstream &upstream, const UpstreamNotice &notice, TimePoint now);
+    /// Returns whether it asks for something else than before.
+    bool receiveNotice(const RegisteredUpstream &upstream, const UpstreamNotice &notice, TimePoint now);
     /// Adds the evidence of another instance. Ignored if the upstream is unknown.
     void addRemoteObservation(const Observation &observation, TimePoint now);
     /// Returns the outcomes of attempts and the starts of trials on this instance since the last call. An unresponsive
@@ -141,6 +151,8 @@
         TimePoint lastAttempt; ///< start of the last attempt or arrival of the last remote observation; zero if none
         bool lastSucceeded = false; ///< the newest outcome, of any instance, is a success
         bool explored = true; ///< this instance finds out about its health for all instances
+        double rateShare = 0; ///< share of its request rate that this instance may use
+        TimePoint rateNamedAt; ///< when an answer to this instance last named a request rate
         TimePoint warmupEnd; ///< responds slowly until then
         TimePoint fullUntil; ///< not selected until then because it had no free slot
         double externalLoad = 0; ///< requests of other instances, at `externalLoadAt`
@@ -157,6 +169,8 @@
     /// Probability of a fault, from finished and pending attempts.
     double faultProbability(const Upstream &upstream, TimePoint now) const;
     double externalLoadOf(const Upstream &upstream, TimePoint now) const;
+    /// Whether the upstream has not asked to be left alone, now or for good.
+    bool isAllowed(const Upstream &upstream, TimePoint now) const;
     /// Whether a request may be sent to the upstream now and it has a free slot.
     bool isAvailable(const Upstream &upstream, TimePoint now) const;
     /// Best upstream for the request and its probability of a fault; null if none has a free slot. Of any health if
@@ -181,6 +195,7 @@
     TimePoint m_lastRetryable; ///< start of the last request that could be retried
     bool m_tooManyIdle = false; ///< too many of the upstreams that this instance explores have no requests
     IsExplorer m_isExplorer;
+    RateShare m_rateShare;
     TimePoint m_stateUpdatedAt;
     std::map<std::string, Upstream> m_upstreams;
     UpstreamConstraints m_constraints;
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -61,6 +61,7 @@
 {
     UpstreamNotice notice;
     notice.leaving = message[names.leaving] == "1";
+    notice.requestRate = parseNumber(message[names.requestRate]).value_or(UpstreamNotice::Unlimited);
     if (message.result() == http::status::service_unavailable) {
         const auto pause = parseNumber(message[http::field::retry_after]);
         notice.pause = Milliseconds(std::int64_t(1000 * std::min(pause.value_or(0), MaxPauseSeconds)));
@@ -254,7 +255,10 @@
     };
     // An answer with status 421 comes from another upstream at the same address.
     if (result.outcome == ExchangeOutcome::Answered && status != 421) {
-        m_service.pool.receiveNotice(attempt.upstream, parseNotice(message, names), now);
+        const auto notice = parseNotice(message, names);
+        if (m_service.pool.receiveNotice(attempt.upstream, notice, now)) {
+            report(attempt.upstream.id, notice);
+        }
     }
     if (result.outcome == ExchangeOutcome::NotSent) {
         finishAttempt(AttemptOutcome::Unreachable, result.failure);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,8 +5,8 @@
 #include "gateway/grouplink.h"
 #include "gateway/statedump.h"
 #include "gateway/storefollower.h"
-#include "laburnumspar/explorerassignment.h"
 #include "laburnumspar/log.h"
+#include "laburnumspar/upstreamassignment.h"
 #include "net/httpserver.h"
 
 #include <sys/resource.h>
@@ -79,7 +79,7 @@
         , adapter(std::move(platformAdapter))
         , serviceRegistry(settings.zone, settings.bounds, std::random_device()())
         , group(initialStatus(settings), {}, Clock::now())
-        , explorers(settings.ip)
+        , assignment(settings.ip)
         , forwarder(context, serviceRegistry, adapter.headers, metrics, settings.memoryBytes / MemoryPerPendingAnswers)
         , callers(context,
                   settings.callers,
@@ -104,7 +104,8 @@
         , signals(context, SIGTERM, SIGINT, SIGHUP)
         , ticker(context)
     {
-        serviceRegistry.setExplorer([this](const RegisteredUpstream &it) { return explorers.isExplorer(it); });
+        serviceRegistry.setExplorer([this](const RegisteredUpstream &it) { return assignment.isExplorer(it); });
+        serviceRegistry.setRateShare([this](const RegisteredUpstream &it) { return assignment.rateShare(it); });
         openMetrics();
     }
 
@@ -133,7 +134,7 @@
     MetricsRegistry metrics;
     ServiceRegistry serviceRegistry;
     InstanceGroup group;
-    ExplorerAssignment explorers;
+    UpstreamAssignment assignment;
     Forwarder forwarder;
     CallerServer callers;
     HttpServer readiness;
@@ -381,11 +382,12 @@
         lastLoadAt = now;
     }
 
-    /// Divides what active instances share: the exploration of upstreams and the reserve of the retry budget.
+    /// Divides what active instances share: the exploration of upstreams, the request rates
+    /// that they take, and the reserve of the retry budget.
     void divideWork(TimePoint now)
     {
         const auto activeInstances = group.activeInstances("", now);
-        explorers.update(activeInstances);
+        assignment.update(activeInstances);
         // Inactive instances get too few requests to need a retry reserve, but are so many that theirs would add up.
         const bool active = group.self().role == InstanceRole::Active;
         serviceRegistry.divideRetryReserve(active ? std::optional(activeInstances.size()) : std::nullopt);
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -68,6 +68,43 @@
     return std::uint16_t(std::clamp<std::int64_t>(age.count(), 0, 0xffff));
 }
 
+/// Bits of the byte that says what an upstream has asked for.
+constexpr std::uint8_t LeavingBit = 1;
+constexpr std::uint8_t RateKnownBit = 2;
+constexpr std::uint8_t LimitedBit = 4;
+/// Request rates are sent in thousandths of a request per second.
+constexpr double RateScale = 1000;
+
+bool isLimited(const std::optional<double> &requestRate)
+{
+    return requestRate && *requestRate != UpstreamNotice::Unlimited;
+}
+
+std::uint8_t encodeNotice(const UpstreamPool::Observation &counts)
+{
+    return std::uint8_t((counts.leaving ? LeavingBit : 0) | (counts.requestRate ? RateKnownBit : 0)
+                        | (isLimited(counts.requestRate) ? LimitedBit : 0));
+}
+
+std::uint32_t encodeRate(double requestRate)
+{
+    return std::uint32_t(std::clamp(requestRate * RateScale, 0.0, double(0xffffffffU)));
+}
+
+void loadNotice(InputArchive &ar, UpstreamPool::Observation &counts)
+{
+    const auto bits = loadNumber<std::uint8_t>(ar);
+    if (bits > (LeavingBit | RateKnownBit | LimitedBit)) {
+        throw DecodeError("unknown notice of an upstream: " + std::to_string(bits));
+    }
+    counts.leaving = (bits & LeavingBit) != 0;
+    if ((bits & LimitedBit) != 0) {
+        counts.requestRate = double(loadNumber<std::uint32_t>(ar)) / RateScale;
+    } else if ((bits & RateKnownBit) != 0) {
+        counts.requestRate = UpstreamNotice::Unlimited;
+    }
+}
+
 template <typename Body>
 Bytes encode(Body &&body)
 {
@@ -124,7 +161,10 @@
                std::uint8_t(std::min(it.counts.successes, MaxCount)),
                std::uint8_t(std::min(it.counts.failures, MaxCount)),
                encodeAge(it.counts.successAge),
-               BoolField{it.counts.leaving});
+               encodeNotice(it.counts));
+            if (isLimited(it.counts.requestRate)) {
+                ar(encodeRate(*it.counts.requestRate));
+            }
         }
     });
 }
@@ -154,8 +194,7 @@
             it.counts.successes = unsigned(loadNumber<std::uint8_t>(ar));
             it.counts.failures = unsigned(loadNumber<std::uint8_t>(ar));
             it.counts.successAge = Milliseconds(loadNumber<std::uint16_t>(ar));
-            BoolField leaving{it.counts.leaving};
-            ar(leaving);
+            loadNotice(ar, it.counts);
         }
     });
     return heartbeat;
--- a/src/gateway/observationbuffer.cpp
+++ b/src/gateway/observationbuffer.cpp
@@ -17,8 +17,8 @@
                             TimePoint now)
 {
     const auto &counts = observation.counts;
-    const bool trialStarted = counts.successes + counts.failures == 0 && !counts.leaving;
-    const bool urgent = counts.failures > 0 || counts.leaving;
+    const bool trialStarted = counts.successes + counts.failures == 0 && !counts.leaving && !counts.requestRate;
+    const bool urgent = counts.failures > 0 || counts.leaving || counts.requestRate;
     for (const auto &zone : zones) {
         const bool ownZone = zone == observation.zone;
         if (trialStarted && !ownZone) {
@@ -31,6 +31,9 @@
             it->second.observation.counts.successes += counts.successes;
             it->second.observation.counts.failures += counts.failures;
             it->second.observation.counts.leaving |= counts.leaving;
+            if (counts.requestRate) {
+                it->second.observation.counts.requestRate = counts.requestRate;
+            }
             it->second.newestSuccess = std::max(it->second.newestSuccess, now - counts.successAge);
             it->second.dueAt = std::min(it->second.dueAt, dueAt);
         }
--- a/src/gateway/observationbuffer.h
+++ b/src/gateway/observationbuffer.h
@@ -9,7 +9,8 @@
 namespace laburnumspar::detail {
 
 /// Holds observations of upstreams until they are due for the instances of each availability zone: at once for the zone
-/// of the upstream, and for failures and departures; successes are collected for the other zones, which rarely use the upstream.
+/// of the upstream, and for failures, departures and request rates; successes are collected for the other zones, which
+/// rarely use the upstream.
 class ObservationBuffer
 {
 public:
--- a/src/gateway/requestreport.cpp
+++ b/src/gateway/requestreport.cpp
@@ -77,4 +77,15 @@
     metrics.histogram("lspar_queue_seconds", {{"service", service}, {"kind", kind}}).record(seconds(request.queued));
 }
 
+void report(const std::string &upstream, const UpstreamNotice &notice)
+{
+    const bool limited = notice.requestRate != UpstreamNotice::Unlimited;
+    logEvent(LogLevel::Info,
+             "upstream.notice",
+             {{"upstream", upstream},
+              {"leaving", notice.leaving},
+              {"pause_ms", notice.pause.count()},
+              {"requests_per_second", limited ? std::to_string(notice.requestRate) : "unlimited"}});
+}
+
 } // namespace laburnumspar::detail
--- a/src/gateway/requestreport.h
+++ b/src/gateway/requestreport.h
@@ -48,5 +48,7 @@
 void report(const UnroutedRequest &request, MetricsRegistry &metrics);
 void report(const AttemptReport &attempt, MetricsRegistry &metrics);
 void report(const RequestReport &request, MetricsRegistry &metrics);
+/// Logs what an upstream newly asks for.
+void report(const std::string &upstream, const UpstreamNotice &notice);
 
 } // namespace laburnumspar::detail
--- a/src/gateway/serviceregistry.cpp
+++ b/src/gateway/serviceregistry.cpp
@@ -101,6 +101,7 @@
         service = std::make_unique<ServiceState>(name, m_zone, m_bounds, ++m_seed);
         service->budget.setReserve(m_retryReserve);
         service->pool.setExplorer(m_isExplorer);
+        service->pool.setRateShare(m_rateShare);
     }
     return *service;
 }
@@ -113,6 +114,14 @@
     }
 }
 
+void ServiceRegistry::setRateShare(UpstreamPool::RateShare rateShare)
+{
+    m_rateShare = std::move(rateShare);
+    for (auto &[name, service] : m_services) {
+        service->pool.setRateShare(m_rateShare);
+    }
+}
+
 void ServiceRegistry::divideRetryReserve(std::optional<std::size_t> instances)
 {
     m_retryReserve = instances ? instanceReserve(m_bounds, *instances) : 0;
--- a/src/gateway/serviceregistry.h
+++ b/src/gateway/serviceregistry.h
@@ -57,6 +57,8 @@
     }
     /// Sets the function that selects the upstreams that this instance explores, for all services.
     void setExplorer(UpstreamPool::IsExplorer isExplorer);
+    /// Sets the function that returns this instance's share of the request rate of an upstream, for all services.
+    void setRateShare(UpstreamPool::RateShare rateShare);
     /// Sets the retry reserve of each service to this instance's share, given the number of active instances. Without a
     /// value the reserve is 0.
     void divideRetryReserve(std::optional<std::size_t> instances);
@@ -71,6 +73,7 @@
     std::uint64_t m_seed;
     unsigned m_retryReserve = 0; ///< retries per service and window in addition to the retry share
     UpstreamPool::IsExplorer m_isExplorer;
+    UpstreamPool::RateShare m_rateShare;
     std::shared_ptr<const RouteTable> m_routes;
     UpstreamRegistry m_upstreams;
     std::map<std::string, std::unique_ptr<ServiceState>> m_services;
--- a/src/explorerassignment.cpp
+++ b/src/upstreamassignment.cpp
@@ -1,11 +1,16 @@
-#include "laburnumspar/explorerassignment.h"
+#include "laburnumspar/upstreamassignment.h"
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace laburnumspar {
 
 namespace {
 
+/// Share of an upstream's request rate for the instances of other availability zones, which use it rarely.
+constexpr double OtherZonesRateShare = 0.2;
+
 std::uint64_t score(const std::string &ip, const std::string &upstream)
 {
     return XXH3_64bits_withSeed(ip.data(), ip.size(), XXH3_64bits(upstream.data(), upstream.size()));
@@ -13,12 +18,12 @@
 
 } // namespace
 
-ExplorerAssignment::ExplorerAssignment(std::string selfIp)
+UpstreamAssignment::UpstreamAssignment(std::string selfIp)
     : m_selfIp(std::move(selfIp))
 {
 }
 
-void ExplorerAssignment::update(const std::vector<InstanceStatus> &activeInstances)
+void UpstreamAssignment::update(const std::vector<InstanceStatus> &activeInstances)
 {
     m_all.clear();
     m_byZone.clear();
@@ -28,7 +33,7 @@
     }
 }
 
-bool ExplorerAssignment::isExplorer(const RegisteredUpstream &upstream) const
+bool UpstreamAssignment::isExplorer(const RegisteredUpstream &upstream) const
 {
     const auto zone = m_byZone.find(upstream.zone);
     const auto &candidates = zone != m_byZone.end() ? zone->second : m_all;
@@ -45,4 +50,19 @@
     return best != nullptr && *best == m_selfIp;
 }
 
+double UpstreamAssignment::rateShare(const RegisteredUpstream &upstream) const
+{
+    if (std::find(m_all.begin(), m_all.end(), m_selfIp) == m_all.end()) {
+        return 0;
+    }
+    const auto zone = m_byZone.find(upstream.zone);
+    const auto own = zone == m_byZone.end() ? 0 : zone->second.size();
+    const auto others = m_all.size() - own;
+    if (own == 0 || others == 0) {
+        return 1.0 / double(m_all.size());
+    }
+    const bool inOwnZone = std::find(zone->second.begin(), zone->second.end(), m_selfIp) != zone->second.end();
+    return inOwnZone ? (1 - OtherZonesRateShare) / double(own) : OtherZonesRateShare / double(others);
+}
+
 } // namespace laburnumspar
--- a/src/upstreamconstraints.cpp
+++ b/src/upstreamconstraints.cpp
@@ -11,27 +11,47 @@
 /// A longer pause counts as this one, so that a wrong value does not take an upstream out of use for good.
 constexpr Milliseconds MaxPause{300'000};
 
+/// Requests that may be sent at once after a pause, as the time in which the rate would allow them.
+constexpr double BurstSeconds = 0.5;
+
+/// A lower rate means that the upstream takes no requests.
+constexpr double MinRate = 0.001;
+
+double seconds(Clock::duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 } // namespace
 
-void UpstreamConstraints::apply(const std::string &id,
+bool UpstreamConstraints::apply(const std::string &id,
                                 std::int64_t startedAtMs,
                                 const UpstreamNotice &notice,
                                 TimePoint now)
 {
     const auto known = m_constraints.find(id);
-    const bool asksForNothing = !notice.leaving && notice.pause.count() <= 0;
+    const bool asksForNothing
+        = !notice.leaving && notice.pause.count() <= 0 && notice.requestRate == UpstreamNotice::Unlimited;
     if (known == m_constraints.end() && asksForNothing) {
-        return;
+        return false;
     }
     if (known != m_constraints.end() && startedAtMs < known->second.startedAtMs) {
-        return;
+        return false;
     }
     setProcess(id, startedAtMs);
     auto &constraint = m_constraints[id];
+    const bool changed = notice.pause.count() > 0 || (notice.leaving && !constraint.leaving)
+        || notice.requestRate != constraint.requestRate;
     constraint.startedAtMs = startedAtMs;
     constraint.noticedAt = now;
     constraint.leaving = constraint.leaving || notice.leaving;
     constraint.pausedUntil = std::max(constraint.pausedUntil, now + std::min(notice.pause, MaxPause));
+    if (constraint.requestRate == UpstreamNotice::Unlimited) {
+        constraint.allowance = 0;
+        constraint.allowanceAt = now;
+    }
+    constraint.requestRate = notice.requestRate;
+    return changed;
 }
 
 void UpstreamConstraints::setProcess(const std::string &id, std::int64_t startedAtMs)
@@ -42,7 +62,7 @@
     }
 }
 
-std::optional<TimePoint> UpstreamConstraints::allowedFrom(const std::string &id, TimePoint now) const
+std::optional<TimePoint> UpstreamConstraints::allowedFrom(const std::string &id, double rateShare, TimePoint now) const
 {
     const auto it = m_constraints.find(id);
     if (it == m_constraints.end()) {
@@ -51,7 +71,43 @@
     if (it->second.leaving) {
         return std::nullopt;
     }
-    return std::max(now, it->second.pausedUntil);
+    const auto from = std::max(now, it->second.pausedUntil);
+    const double missing = 1 - allowance(it->second, rateShare, now);
+    if (missing <= 0) {
+        return from;
+    }
+    const double rate = it->second.requestRate * rateShare;
+    if (rate < MinRate) {
+        return std::nullopt;
+    }
+    return std::max(from, now + std::chrono::ceil<Clock::duration>(std::chrono::duration<double>(missing / rate)));
+}
+
+void UpstreamConstraints::recordRequest(const std::string &id, double rateShare, TimePoint now)
+{
+    const auto it = m_constraints.find(id);
+    if (it == m_constraints.end() || it->second.requestRate == UpstreamNotice::Unlimited) {
+        return;
+    }
+    it->second.allowance = allowance(it->second, rateShare, now) - 1;
+    it->second.allowanceAt = now;
+}
+
+double UpstreamConstraints::requestRate(const std::string &id) const
+{
+    const auto it = m_constraints.find(id);
+    return it == m_constraints.end() ? UpstreamNotice::Unlimited : it->second.requestRate;
+}
+
+/// Token bucket: grows with the rate and holds the requests of BurstSeconds, at least one.
+double UpstreamConstraints::allowance(const Constraint &constraint, double rateShare, TimePoint now)
+{
+    if (constraint.requestRate == UpstreamNotice::Unlimited) {
+        return UpstreamNotice::Unlimited;
+    }
+    const double rate = constraint.requestRate * rateShare;
+    const double grown = constraint.allowance + rate * seconds(now - constraint.allowanceAt);
+    return std::min(grown, std::max(1.0, rate * BurstSeconds));
 }
 
 void UpstreamConstraints::prune(TimePoint now)
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -51,6 +51,10 @@
 constexpr double MaxTrialCredit = 3;
 /// Time for which an upstream that refused a request as full is not selected.
 constexpr Milliseconds FullBackoff{80};
+/// Faulty upstreams are used if no healthy one takes requests within this time.
+constexpr Milliseconds MaxHealthyWait{1000};
+/// Time for which a request rate that an answer to this instance has named goes before what others report.
+constexpr Milliseconds OwnRateLifetime{1000};
 /// Half-life of the reported external load.
 constexpr double ExternalLoadHalfLifeSeconds = 0.5;
 /// Components of the selection cost. A cost of 1 corresponds to an upstream whose slots are all taken.
@@ -124,6 +128,7 @@
         upstream.addedAt = now;
     }
     upstream.entry = entry;
+    upstream.rateShare = m_rateShare ? m_rateShare(entry) : 1;
 }
 
 void UpstreamPool::remove(const std::string &id)
@@ -159,6 +164,7 @@
     const auto attempt = m_nextAttempt++;
     upstream->inFlight.push_back({attempt, now, request.latency});
     upstream->lastAttempt = now;
+    m_constraints.recordRequest(upstream->entry.id, upstream->rateShare, now);
     m_attempts.emplace(attempt, upstream->entry.id);
     return Choice{attempt, upstream->entry, fault};
 }
@@ -244,21 +250,29 @@
     }
 }
 
-void UpstreamPool::receiveNotice(const RegisteredUpstream &upstream, const UpstreamNotice &notice, TimePoint now)
+bool UpstreamPool::receiveNotice(const RegisteredUpstream &upstream, const UpstreamNotice &notice, TimePoint now)
 {
     const auto it = m_upstreams.find(upstream.id);
     const bool current = it != m_upstreams.end() && it->second.entry.startedAtMs == upstream.startedAtMs;
     // A late answer of an earlier process says nothing about the one that has taken its identity.
     if (!current && it != m_upstreams.end()) {
-        return;
+        return false;
     }
-    m_constraints.apply(upstream.id, upstream.startedAtMs, notice, now);
+    const bool wasLimited = m_constraints.requestRate(upstream.id) != UpstreamNotice::Unlimited;
+    const bool changed = m_constraints.apply(upstream.id, upstream.startedAtMs, notice, now);
     if (!current) {
-        return;
+        return changed;
     }
     auto &pending = it->second.pendingObservation;
-    it->second.noticePending = it->second.noticePending || (notice.leaving && !pending.leaving);
     pending.leaving = pending.leaving || notice.leaving;
+    if (wasLimited || notice.requestRate != UpstreamNotice::Unlimited) {
+        pending.requestRate = notice.requestRate;
+        it->second.rateNamedAt = now;
+    }
+    // A pause concerns this instance only.
+    const bool concernsOthers = notice.leaving || pending.requestRate;
+    it->second.noticePending = it->second.noticePending || (changed && concernsOthers);
+    return changed;
 }
 
 void UpstreamPool::addRemoteObservation(const Observation &observation, TimePoint now)
@@ -278,7 +292,13 @@
     }
     addEvidence(upstream, RemoteEvidenceWeight * evidence, now);
     upstream.lastAttempt = now;
-    m_constraints.apply(observation.id, upstream.entry.startedAtMs, {observation.leaving}, now);
+    UpstreamNotice notice;
+    notice.leaving = observation.leaving;
+    // What this instance has been told itself is newer than what arrives from others.
+    const bool known = now - upstream.rateNamedAt < OwnRateLifetime;
+    const double ownRate = m_constraints.requestRate(observation.id);
+    notice.requestRate = known ? ownRate : observation.requestRate.value_or(ownRate);
+    m_constraints.apply(observation.id, upstream.entry.startedAtMs, notice, now);
 }
 
 std::vector<UpstreamPool::Observation> UpstreamPool::takeObservations(TimePoint now)
@@ -321,7 +341,7 @@
 {
     std::optional<TimePoint> earliest;
     for (const auto &[id, upstream] : m_upstreams) {
-        const auto from = m_constraints.allowedFrom(id, now);
+        const auto from = m_constraints.allowedFrom(id, upstream.rateShare, now);
         if (from && *from <= now) {
             return now;
         }
@@ -336,7 +356,7 @@
 {
     double total = 0;
     for (const auto &[id, upstream] : m_upstreams) {
-        if (!m_constraints.allows(id, now) || faultProbabilityFromFinished(upstream, now) > FaultyThreshold) {
+        if (!isAllowed(upstream, now) || faultProbabilityFromFinished(upstream, now) > FaultyThreshold) {
             continue;
         }
         const double taken = double(upstream.inFlight.size()) + externalLoadOf(upstream, now);
@@ -380,9 +400,14 @@
     return upstream.externalLoad * std::exp2(-seconds(now - upstream.externalLoadAt) / ExternalLoadHalfLifeSeconds);
 }
 
+bool UpstreamPool::isAllowed(const Upstream &upstream, TimePoint now) const
+{
+    return m_constraints.allows(upstream.entry.id, upstream.rateShare, now);
+}
+
 bool UpstreamPool::isAvailable(const Upstream &upstream, TimePoint now) const
 {
-    return m_constraints.allows(upstream.entry.id, now) && now >= upstream.fullUntil
+    return isAllowed(upstream, now) && now >= upstream.fullUntil
         && double(upstream.inFlight.size()) + externalLoadOf(upstream, now) + 0.5 < double(upstream.entry.slots);
 }
 
@@ -444,7 +469,8 @@
 bool UpstreamPool::hasHealthyUpstream(TimePoint now) const
 {
     return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &it) {
-        return m_constraints.allows(it.first, now)
+        const auto from = m_constraints.allowedFrom(it.first, it.second.rateShare, now);
+        return from && *from - now <= MaxHealthyWait
             && faultProbabilityFromFinished(it.second, now) <= FinalAttemptFaultyThreshold;
     });
 }
@@ -467,10 +493,11 @@
     for (auto &[id, upstream] : m_upstreams) {
         const double fault = faultProbabilityFromFinished(upstream, now);
         sum += fault;
-        if (!m_constraints.allows(id, now)) {
+        upstream.explored = !m_isExplorer || m_isExplorer(upstream.entry);
+        upstream.rateShare = m_rateShare ? m_rateShare(upstream.entry) : 1;
+        if (!isAllowed(upstream, now)) {
             continue;
         }
-        upstream.explored = !m_isExplorer || m_isExplorer(upstream.entry);
         healthy += upstream.explored && fault <= FaultyThreshold ? 1 : 0;
         idle += upstream.explored && isIdle(upstream, now) ? 1 : 0;
     }
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -15,7 +15,7 @@
 const Endpoint secondAddress{loopbackAddress(2), 27912};
 
 constexpr std::size_t MaxPendingBytes = 1 << 20;
-const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Leaving"};
+const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Rate", "X-Leaving"};
 
 std::shared_ptr<const RouteTable> makeTable(bool idempotent)
 {
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -20,7 +20,9 @@
     known.status = {"10.2.0.1", "catania", 41, InstanceRole::Spare, 500};
     known.age = Milliseconds(700);
     heartbeat.knownInstances.push_back(known);
-    heartbeat.observations.push_back({"orders", {"i-1", 3, 1, Milliseconds(1500), true}});
+    heartbeat.observations.push_back({"orders", {"i-1", 3, 1, Milliseconds(1500), true, 7.5}});
+    heartbeat.observations.push_back({"orders", {"i-2", 1, 0, Milliseconds(0), false, UpstreamNotice::Unlimited}});
+    heartbeat.observations.push_back({"orders", {"i-3", 1, 0, Milliseconds(0)}});
     return heartbeat;
 }
 
@@ -42,11 +44,15 @@
     BOOST_REQUIRE(heartbeat.knownInstances.size() == 1U);
     BOOST_TEST((heartbeat.knownInstances[0].status.role == InstanceRole::Spare));
     BOOST_TEST(heartbeat.knownInstances[0].age.count() == 700);
-    BOOST_REQUIRE(heartbeat.observations.size() == 1U);
+    BOOST_REQUIRE(heartbeat.observations.size() == 3U);
     BOOST_TEST(heartbeat.observations[0].counts.successes == 3U);
     BOOST_TEST(heartbeat.observations[0].counts.failures == 1U);
     BOOST_TEST(heartbeat.observations[0].counts.successAge.count() == 1500);
     BOOST_TEST(heartbeat.observations[0].counts.leaving);
+    BOOST_TEST(heartbeat.observations[0].counts.requestRate.value() == 7.5);
+    BOOST_TEST(!heartbeat.observations[1].counts.leaving);
+    BOOST_TEST(heartbeat.observations[1].counts.requestRate.value() == UpstreamNotice::Unlimited);
+    BOOST_TEST(!heartbeat.observations[2].counts.requestRate.has_value());
 }
 
 // Guards against datagrams that are fragmented because they exceed the usual Ethernet frame.
--- a/tests/test_explorerassignment.cpp
+++ b/tests/test_upstreamassignment.cpp
@@ -1,7 +1,8 @@
-#include "laburnumspar/explorerassignment.h"
+#include "laburnumspar/upstreamassignment.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <map>
 
 using namespace laburnumspar;
@@ -33,9 +34,9 @@
 // Guards against an upstream that no instance explores, or that several do.
 BOOST_AUTO_TEST_CASE(eachUpstreamHasOneExplorerOfItsZone)
 {
-    std::map<std::string, ExplorerAssignment> assignments;
+    std::map<std::string, UpstreamAssignment> assignments;
     for (const auto &it : active) {
-        assignments.emplace(it.ip, ExplorerAssignment(it.ip)).first->second.update(active);
+        assignments.emplace(it.ip, UpstreamAssignment(it.ip)).first->second.update(active);
     }
     std::map<std::string, int> counts;
     for (int n = 0; n < 200; ++n) {
@@ -58,7 +59,7 @@
 {
     int explorers = 0;
     for (const auto &it : active) {
-        ExplorerAssignment assignment(it.ip);
+        UpstreamAssignment assignment(it.ip);
         assignment.update(active);
         explorers += assignment.isExplorer(makeUpstream(1, "messina")) ? 1 : 0;
     }
@@ -68,10 +69,27 @@
 // Guards against trials by instances that serve hardly any requests.
 BOOST_AUTO_TEST_CASE(inactiveInstancesExploreNothing)
 {
-    ExplorerAssignment assignment("10.9.0.1");
+    UpstreamAssignment assignment("10.9.0.1");
     BOOST_TEST(!assignment.isExplorer(makeUpstream(1, "palermo")));
     assignment.update(active);
     for (int n = 0; n < 50; ++n) {
         BOOST_TEST(!assignment.isExplorer(makeUpstream(n, "palermo")));
     }
 }
+
+// Guards against instances that use more of an upstream's request rate together than it takes.
+BOOST_AUTO_TEST_CASE(rateSharesAddUpToOne)
+{
+    for (const auto *zone : {"palermo", "catania", "messina"}) {
+        double sum = 0;
+        for (const auto &it : active) {
+            UpstreamAssignment assignment(it.ip);
+            assignment.update(active);
+            sum += assignment.rateShare(makeUpstream(1, zone));
+        }
+        BOOST_TEST(std::abs(sum - 1) < 1e-9);
+    }
+    UpstreamAssignment standby("10.1.0.9");
+    standby.update(active);
+    BOOST_TEST(standby.rateShare(makeUpstream(1, "palermo")) == 0);
+}
--- a/tests/test_upstreamconnections.cpp
+++ b/tests/test_upstreamconnections.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Leaving"};
+const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Rate", "X-Leaving"};
 const Endpoint upstreamAddress{loopbackAddress(0), 27921};
 constexpr std::size_t MaxPendingBytes = 2 << 20;
 /// What an upstream may have sent before its connection is closed: the limits of this side, and the socket buffers of
