dispatcher: pauses and request rates of upstreams hold on the product's own interface too

Cause: what upstreams ask for with their answers was decided in the pool of the platform's path only; the dispatchers knew departures (X-Phase) but neither a pause nor a request rate. One dispatcher sends to an upstream, so the whole rate is its own; half of it while the instance is isolated. The stand-in can ask for both.

--- a/include/laburnumspar/upstreamconstraints.h
+++ b/include/laburnumspar/upstreamconstraints.h
@@ -39,6 +39,10 @@
     }
     /// Earliest time at which a request may be sent to the upstream; nothing if that will never be.
     std::optional<TimePoint> allowedFrom(const std::string &id, double rateShare, TimePoint now) const;
+    /// Whether the upstream wants no requests from this instance now, whatever its request rate.
+    bool isPaused(const std::string &id, TimePoint now) const;
+    /// Number of requests that may be sent to the upstream now; infinite if it has named no rate.
+    double requestsAllowed(const std::string &id, double rateShare, TimePoint now) const;
     /// Counts a request that is sent to the upstream.
     void recordRequest(const std::string &id, double rateShare, TimePoint now);
     /// Request rate that the upstream has named last; UpstreamNotice::Unlimited if none.
--- a/include/laburnumspar/upstreamdialect.h
+++ b/include/laburnumspar/upstreamdialect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnumspar/types.h"
+#include "laburnumspar/upstreamconstraints.h"
 
 #include <optional>
 #include <string>
@@ -40,6 +41,7 @@
     std::string body;
     std::optional<unsigned> inFlight; ///< reported number of requests in flight, including this one
     std::optional<UpstreamPhase> phase; ///< reported phase
+    UpstreamNotice notice; ///< pause and request rate that the upstream asks for; a departure is a phase
 };
 
 /// HTTP protocol of the upstreams: names of headers and endpoints. Implementations are stateless plug-ins.
--- a/src/net/serviceruntime.cpp
+++ b/src/net/serviceruntime.cpp
@@ -23,8 +23,16 @@
 constexpr Milliseconds ProbeTimeout{500};
 constexpr Milliseconds ProbeInterval{1250}; // a probe takes 25 ms of a slot, so probing takes 2% of one slot
 constexpr Milliseconds EvaluationInterval{50};
+/// Share of an upstream's request rate while this instance is isolated: instances that it cannot reach may dispatch to
+/// the same upstream. Otherwise it is the only one that does.
+constexpr double IsolatedRateShare = 0.5;
 constexpr double TypicalTimeWeight = 0.05; // of the newest run time in the moving average
 
+double rateShare(bool isolated)
+{
+    return isolated ? IsolatedRateShare : 1;
+}
+
 } // namespace
 
 std::optional<EvidenceKind> toEvidenceKind(const AttemptResult &result)
@@ -77,7 +85,7 @@
                                                .teamShares(settings->teamShares)
                                                .seed(context.seed)
                                                .admissionHook([this, &state](const UpstreamId &id, TimePoint now) {
-                                                   return admission(state, id, now);
+                                                   return rateLimitedAdmission(state, id, now);
                                                })
                                                .build());
         state.retryBudget = RetryBudget(settings->retryBudget);
@@ -145,7 +153,11 @@
     const bool allowed = m_state.with([&](State &state) {
         state.attempts[decision.ticket]
             = {decision.upstream, decision.requestClass, sentAt, call.idempotent ? attemptCancellation : nullptr};
-        return admission(state, decision.upstream, sentAt).slots > 0;
+        if (admission(state, decision.upstream, sentAt).slots == 0) {
+            return false;
+        }
+        state.constraints.recordRequest(toString(decision.upstream), rateShare(state.isolated), sentAt);
+        return true;
     });
     if (!allowed) {
         releaseSlot(decision.ticket, Reason::Leaving);
@@ -192,6 +204,7 @@
             typical = typical == 0 ? runTime.count() : typical + TypicalTimeWeight * (runTime.count() - typical);
         }
         recordPhase(state, decision.upstream, result.answer, now);
+        recordNotice(state, decision.upstream, result, now);
         Completion completion{runTime, result.outcome, result.reason, std::nullopt};
         completion.reportedInFlight = result.answer.inFlight;
         return state.dispatcher->finish(decision.ticket, completion, now);
@@ -199,6 +212,24 @@
     deliverDecisions(decisions);
 }
 
+/// Applies what the upstream asks for with its own, undamaged answer.
+void ServiceRuntime::recordNotice(State &state, const UpstreamId &upstream, const AttemptResult &result, TimePoint now)
+{
+    if (result.answer.status == 0 || result.reason == Reason::WrongAnswer) {
+        return;
+    }
+    const auto &notice = result.answer.notice;
+    if (state.constraints.apply(toString(upstream), 0, notice, now)) {
+        const bool limited = notice.requestRate != UpstreamNotice::Unlimited;
+        logEvent(LogLevel::Info,
+                 "upstream.notice",
+                 {{"service", m_service},
+                  {"upstream", toString(upstream)},
+                  {"pause_ms", notice.pause.count()},
+                  {"requests_per_second", limited ? std::to_string(notice.requestRate) : "unlimited"}});
+    }
+}
+
 void ServiceRuntime::recordPhase(State &state, const UpstreamId &upstream, const UpstreamAnswer &answer, TimePoint now)
 {
     if (!answer.phase) {
@@ -256,7 +287,8 @@
 Admission ServiceRuntime::admission(State &state, const UpstreamId &upstream, TimePoint now) const
 {
     const auto phase = state.phases.find(upstream);
-    if (phase == state.phases.end() || phase->second.draining || now - phase->second.checkedAt > MaxPhaseAge) {
+    if (phase == state.phases.end() || phase->second.draining || now - phase->second.checkedAt > MaxPhaseAge
+        || state.constraints.isPaused(toString(upstream), now)) {
         return {};
     }
     auto admission = state.health->admission(upstream, now);
@@ -264,6 +296,19 @@
     return admission;
 }
 
+Admission ServiceRuntime::rateLimitedAdmission(State &state, const UpstreamId &upstream, TimePoint now) const
+{
+    auto result = admission(state, upstream, now);
+    const double allowed = state.constraints.requestsAllowed(toString(upstream), rateShare(state.isolated), now);
+    if (result.slots == 0 || allowed >= double(result.slots)) {
+        return result;
+    }
+    const auto running = std::count_if(
+        state.attempts.begin(), state.attempts.end(), [&](const auto &it) { return it.second.upstream == upstream; });
+    result.slots = std::min(result.slots, unsigned(running) + unsigned(allowed));
+    return result;
+}
+
 void ServiceRuntime::setIsolated(bool isolated)
 {
     const bool changed
@@ -314,6 +359,7 @@
             state.dispatcher->setUpstreams(capacities, now);
         }
         std::erase_if(state.phases, [&](const auto &phase) { return !slots.contains(phase.first); });
+        state.constraints.prune(now);
     });
 }
 
--- a/src/net/serviceruntime.h
+++ b/src/net/serviceruntime.h
@@ -95,6 +95,7 @@
         std::map<std::uint64_t, OneShot<Decision>> waiting; ///< by ticket
         std::map<std::uint64_t, Attempt> attempts; ///< by ticket
         std::map<UpstreamId, PhaseStatus> phases;
+        UpstreamConstraints constraints; ///< by address of the upstream
         std::map<UpstreamId, unsigned> owned; ///< with their configured slots
         std::uint64_t nextTicket = 1;
         double typicalShortUs = 0; ///< moving average of successful short attempts; 0 if there were none
@@ -102,8 +103,10 @@
         bool isolated = false;
     };
 
-    /// Whether, and with how many slots, requests may be sent to the upstream.
+    /// Whether, and with how many slots, requests may be sent to the upstream, apart from its request rate.
     Admission admission(State &state, const UpstreamId &upstream, TimePoint now) const;
+    /// The same, with no more slots than the request rate of the upstream allows.
+    Admission rateLimitedAdmission(State &state, const UpstreamId &upstream, TimePoint now) const;
     /// Queues the request and waits for the decision of the dispatcher.
     awaitable<Decision>
     admit(const CallRequest &call, std::uint64_t ticket, std::vector<UpstreamId> exclude, CancellationPtr cancellation);
@@ -112,6 +115,7 @@
     bool
     shouldRetry(const CallRequest &call, const CallResult &result, unsigned attempts, CancellationPtr cancellation);
     void recordAttempt(const Decision &decision, const AttemptResult &result, TimePoint sentAt);
+    void recordNotice(State &state, const UpstreamId &upstream, const AttemptResult &result, TimePoint now);
     void recordPhase(State &state, const UpstreamId &upstream, const UpstreamAnswer &answer, TimePoint now);
     /// Resumes the requests that wait for these decisions.
     void deliverDecisions(const std::vector<Decision> &decisions);
--- a/src/upstreamconstraints.cpp
+++ b/src/upstreamconstraints.cpp
@@ -83,6 +83,21 @@
     return std::max(from, now + std::chrono::ceil<Clock::duration>(std::chrono::duration<double>(missing / rate)));
 }
 
+bool UpstreamConstraints::isPaused(const std::string &id, TimePoint now) const
+{
+    const auto it = m_constraints.find(id);
+    return it != m_constraints.end() && (it->second.leaving || now < it->second.pausedUntil);
+}
+
+double UpstreamConstraints::requestsAllowed(const std::string &id, double rateShare, TimePoint now) const
+{
+    const auto it = m_constraints.find(id);
+    if (it == m_constraints.end()) {
+        return UpstreamNotice::Unlimited;
+    }
+    return isPaused(id, now) ? 0 : std::max(0.0, allowance(it->second, rateShare, now));
+}
+
 void UpstreamConstraints::recordRequest(const std::string &id, double rateShare, TimePoint now)
 {
     const auto it = m_constraints.find(id);
--- a/tools/lspar-upstream/controlserver.cpp
+++ b/tools/lspar-upstream/controlserver.cpp
@@ -70,7 +70,7 @@
     if (!kind) {
         throw UsageError(
             "parameter 'kind' must be none, slow, blackhole, failwork, flap, wrong, truncate, shed, refuse, "
-            "drain or cold");
+            "drain, pause, rate or cold");
     }
     const double factor = queryNumber(target, "factor", *kind == FaultKind::Flap ? 1 : 10);
     const double forMs = queryNumber(target, "for_ms", 0);
--- a/tools/lspar-upstream/fault.h
+++ b/tools/lspar-upstream/fault.h
@@ -16,6 +16,8 @@
     Shed, ///< rejects requests with 503 and X-Not-Run: shed
     Refuse, ///< closes its listener and all connections, so that health probes fail too
     Drain, ///< announces that it is draining and rejects requests after DrainGrace
+    Pause, ///< rejects requests with 503, X-Not-Run: shed and Retry-After: `factor` seconds
+    Rate, ///< names `factor` requests per second as its limit, and runs all requests
     Cold, ///< announces that it is starting; `factor` times slower at first, decreasing linearly to normal speed
 };
 
@@ -43,7 +45,7 @@
 
 template <>
 struct laburnumspar::EnumNames<laburnumspar::tools::FaultKind> {
-    static constexpr std::array<std::string_view, 11> Names{
+    static constexpr std::array<std::string_view, 13> Names{
         "none",
         "slow",
         "blackhole",
@@ -54,6 +56,8 @@
         "shed",
         "refuse",
         "drain",
+        "pause",
+        "rate",
         "cold",
     };
 };
--- a/tools/lspar-upstream/upstream.cpp
+++ b/tools/lspar-upstream/upstream.cpp
@@ -238,8 +238,15 @@
     if (outcome == RequestOutcome::CallerGone) {
         co_return false;
     }
-    const UpstreamState state{
-        toString(m_address), m_slots.inFlight(), m_options.slots, announcedPhase(fault(), Clock::now())};
+    const auto currentFault = fault();
+    const auto kind = activeFaultKind(currentFault, Clock::now());
+    UpstreamState state{
+        toString(m_address), m_slots.inFlight(), m_options.slots, announcedPhase(currentFault, Clock::now())};
+    if (kind == FaultKind::Pause) {
+        state.pauseSeconds = currentFault.factor;
+    } else if (kind == FaultKind::Rate) {
+        state.requestRate = currentFault.factor;
+    }
     HttpResponse response = makeResponse(request, outcome, state);
     response.keep_alive(httpRequest.keep_alive());
     const bool sent = co_await send(socket, request, response);
@@ -272,7 +279,7 @@
     const auto currentFault = fault();
     const auto kind = request.probe ? FaultKind::None : activeFaultKind(currentFault, now);
     const bool drained = kind == FaultKind::Drain && now - currentFault.since > DrainGrace;
-    if (kind == FaultKind::Shed || drained) {
+    if (kind == FaultKind::Shed || kind == FaultKind::Pause || drained) {
         updateCounters([](UpstreamCounters &counters) { ++counters.shed; });
         co_return drained ? RequestOutcome::Draining : RequestOutcome::Shed;
     }
--- a/tools/lspar-upstream/upstreamrequest.cpp
+++ b/tools/lspar-upstream/upstreamrequest.cpp
@@ -97,6 +97,12 @@
     if (const auto *reason = notRunReason(outcome)) {
         response.set("X-Not-Run", reason);
     }
+    if (state.pauseSeconds && outcome == RequestOutcome::Shed) {
+        response.set(http::field::retry_after, std::to_string(*state.pauseSeconds));
+    }
+    if (state.requestRate) {
+        response.set("X-Request-Rate", std::to_string(*state.requestRate));
+    }
     response.body() = bodyOf(request, outcome, state);
     response.set("X-Body-Digest", bodyDigest(response.body()));
     response.prepare_payload();
--- a/tools/lspar-upstream/upstreamrequest.h
+++ b/tools/lspar-upstream/upstreamrequest.h
@@ -44,6 +44,8 @@
     std::size_t inFlight = 0; ///< not including the request of this response
     unsigned slots = 0;
     UpstreamPhase phase = UpstreamPhase::Serving;
+    std::optional<double> pauseSeconds{}; ///< sent with rejections
+    std::optional<double> requestRate{}; ///< requests per second that it names as its limit
 };
 
 HttpResponse makeResponse(const UpstreamRequest &request, RequestOutcome outcome, const UpstreamState &state);
