forwarding: a retry that no upstream takes costs nothing

Cause: a retry was taken from the budget before an upstream had been selected for it. While none was eligible, the hedge timer took another one every 60 ms. Change: the budget is spent after the attempt has started.

--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -332,11 +332,12 @@
     if (!m_route.idempotent || m_runs >= m_route.attempts || timeLeft(now) <= MinRetryAfter) {
         return false;
     }
-    // A retry is taken from the budget only if an upstream has a free slot for it.
-    if (m_service.pool.freeSlots(now) < 1 || !m_service.budget.trySpend(now)) {
+    // A retry is taken from the budget only if an upstream takes it: a hedge that finds none is tried again soon.
+    if (m_service.pool.freeSlots(now) < 1 || m_service.budget.remaining(now) < 1 || !tryStart(now)) {
         return false;
     }
-    return tryStart(now);
+    m_service.budget.trySpend(now);
+    return true;
 }
 
 void Forwarding::armHedgeTimer(double faultProbability, TimePoint now)
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t MaxPendingBytes = 1 << 20;
 const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Rate", "X-Leaving"};
 
-std::shared_ptr<const RouteTable> makeTable(bool idempotent)
+std::shared_ptr<const RouteTable> makeTable(bool idempotent, unsigned attempts = 1)
 {
     Route route;
     route.name = "all";
@@ -25,6 +25,7 @@
     route.prefix = "/";
     route.targets = {{"orders", 1}};
     route.idempotent = idempotent;
+    route.attempts = attempts;
     RouteTable::Builder builder(1);
     builder.service("orders", {"/healthz", 0});
     builder.route(route);
@@ -324,3 +325,18 @@
     BOOST_TEST((Clock::now() - begin < 2s));
     BOOST_TEST(arrived == 1);
 }
+
+// Guards against a retry budget that is spent although no other upstream could take the retry: it was missing for requests
+// that failed (kgt-spar-grown, trouble-3).
+BOOST_FIXTURE_TEST_CASE(retriesThatCannotStartCostNothing, Fixture)
+{
+    serviceRegistry.applyRoutes(makeTable(true, 2));
+    addUpstream("i-1", firstAddress);
+    serviceRegistry.divideRetryReserve(1);
+    auto &budget = serviceRegistry.service("orders").budget;
+    const double before = budget.remaining(Clock::now());
+    firstDelay = 2s;
+    firstAnswer = [](const HttpRequest &request) { return signedAnswer(request, http::status::ok); };
+    BOOST_TEST(sendAndWait() == 200U);
+    BOOST_TEST(budget.remaining(Clock::now()) >= before);
+}
