notices of upstreams are parsed in one place, and fleet tests share their senders

Cause: both interfaces parsed pauses and request rates with code of their own, and two fleet tests sent requests with the same function. Change: parsePause and parseRequestRate beside UpstreamNotice; send_requests in lib.sh. No behaviour changes. Measured: test_callerserver, test_upstreamdialect, test_upstreamconstraints, test_upstreampool and both fleet tests pass.

--- a/include/laburnumspar/upstreamconstraints.h
+++ b/include/laburnumspar/upstreamconstraints.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace laburnumspar {
 
@@ -19,6 +20,11 @@
     static constexpr double Unlimited = std::numeric_limits<double>::infinity();
 };
 
+/// Parses the seconds of a Retry-After header. 0 if they are missing or invalid; at most one hour.
+Milliseconds parsePause(std::string_view text);
+/// Parses a request rate. UpstreamNotice::Unlimited if it is missing or invalid.
+double parseRequestRate(std::string_view text);
+
 /// Keeps what the upstreams of a service have asked for with their answers, and decides whether a request may be sent
 /// to one of them. Outlives the entries of the upstreams, so that a request that an upstream has made holds although
 /// its entry is removed and added again.
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -28,8 +28,6 @@
 constexpr double MinRetriesForHedges = 4;
 /// An answer is sent this long before the caller's deadline, so that it arrives in time.
 constexpr Milliseconds AnswerMargin{20};
-/// Larger values of a Retry-After header count as this one.
-constexpr double MaxPauseSeconds = 3600;
 constexpr Milliseconds MinRetryAfter{100};
 constexpr Milliseconds MaxRetryAfter{2000};
 /// An attempt that is cancelled before this quantile of the route's latencies does not count against its upstream.
@@ -50,23 +48,18 @@
     return load;
 }
 
-/// Parses a decimal number that is not negative.
-std::optional<double> parseNumber(beast::string_view value)
+std::string_view text(beast::string_view value)
 {
-    double number = 0;
-    const char *end = value.data() + value.size();
-    const auto [next, ec] = std::from_chars(value.data(), end, number);
-    return ec == std::errc() && next == end && number >= 0 ? std::optional(number) : std::nullopt;
+    return {value.data(), value.size()};
 }
 
 UpstreamNotice parseNotice(const UpstreamMessage &message, const ForwardingHeaders &names)
 {
     UpstreamNotice notice;
     notice.leaving = message[names.leaving] == "1";
-    notice.requestRate = parseNumber(message[names.requestRate]).value_or(UpstreamNotice::Unlimited);
+    notice.requestRate = parseRequestRate(text(message[names.requestRate]));
     if (message.result() == http::status::service_unavailable) {
-        const auto pause = parseNumber(message[http::field::retry_after]);
-        notice.pause = Milliseconds(std::int64_t(1000 * std::min(pause.value_or(0), MaxPauseSeconds)));
+        notice.pause = parsePause(text(message[http::field::retry_after]));
     }
     return notice;
 }
--- a/src/plugins/lsparv1upstream.cpp
+++ b/src/plugins/lsparv1upstream.cpp
@@ -3,7 +3,6 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
-#include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <xxhash.h>
@@ -14,8 +13,6 @@
 
 constexpr unsigned HttpServerError = 500;
 constexpr unsigned HttpUnavailable = 503;
-/// Larger values of a Retry-After header count as this one.
-constexpr double MaxPauseSeconds = 3600;
 
 const std::string *findHeader(const HttpHeaders &headers, std::string_view key)
 {
@@ -38,26 +35,18 @@
     return ec == std::errc() ? std::optional(inFlight) : std::nullopt;
 }
 
-/// Parses a header with a decimal number that is not negative.
-std::optional<double> parseNumber(const HttpHeaders &headers, std::string_view key)
+std::string_view headerOrEmpty(const HttpHeaders &headers, std::string_view key)
 {
     const auto *value = findHeader(headers, key);
-    if (!value) {
-        return std::nullopt;
-    }
-    double number = 0;
-    const char *end = value->data() + value->size();
-    const auto [next, ec] = std::from_chars(value->data(), end, number);
-    return ec == std::errc() && next == end && number >= 0 ? std::optional(number) : std::nullopt;
+    return value ? std::string_view(*value) : std::string_view();
 }
 
 UpstreamNotice parseNotice(const HttpMessage &answer)
 {
     UpstreamNotice notice;
-    notice.requestRate = parseNumber(answer.headers, "X-Request-Rate").value_or(UpstreamNotice::Unlimited);
+    notice.requestRate = parseRequestRate(headerOrEmpty(answer.headers, "X-Request-Rate"));
     if (answer.status == HttpUnavailable) {
-        const double pause = parseNumber(answer.headers, "Retry-After").value_or(0);
-        notice.pause = Milliseconds(std::int64_t(1000 * std::min(pause, MaxPauseSeconds)));
+        notice.pause = parsePause(headerOrEmpty(answer.headers, "Retry-After"));
     }
     return notice;
 }
--- a/src/upstreamconstraints.cpp
+++ b/src/upstreamconstraints.cpp
@@ -1,6 +1,7 @@
 #include "laburnumspar/upstreamconstraints.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace laburnumspar {
 
@@ -22,8 +23,28 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// Parses a decimal number that is not negative.
+std::optional<double> parseNumber(std::string_view text)
+{
+    double number = 0;
+    const char *end = text.data() + text.size();
+    const auto [next, ec] = std::from_chars(text.data(), end, number);
+    return ec == std::errc() && next == end && number >= 0 ? std::optional(number) : std::nullopt;
+}
+
 } // namespace
 
+Milliseconds parsePause(std::string_view text)
+{
+    constexpr double MaxSeconds = 3600;
+    return Milliseconds(std::int64_t(1000 * std::min(parseNumber(text).value_or(0), MaxSeconds)));
+}
+
+double parseRequestRate(std::string_view text)
+{
+    return parseNumber(text).value_or(UpstreamNotice::Unlimited);
+}
+
 bool UpstreamConstraints::apply(const std::string &id,
                                 std::int64_t startedAtMs,
                                 const UpstreamNotice &notice,
--- a/tests/fleet/drainingupstream.sh
+++ b/tests/fleet/drainingupstream.sh
@@ -3,16 +3,6 @@
 # instance list does.
 source "$(dirname "$0")/lib.sh"
 start_fleet
-# send_requests COUNT: sends requests through all instances in parallel and waits for the answers.
-send_requests() {
-    local i senders=()
-    for ((i = 0; i < $1; i++)); do
-        call_idempotent $((i % FLEET_INSTANCES)) a >>"$FLEET_DIR/answers" &
-        senders+=($!)
-    done
-    wait "${senders[@]}"
-}
-upstream_clock_ms() { curl -s -m 5 "http://$FLEET_CONTROL/control/stats" | jq .clock_ms; }
 # phase_filter N PHASE: prints a jq filter that is true if a dump shows upstream N in PHASE.
 phase_filter() { echo ".services.$FLEET_SERVICE.health.upstreams[] | select(.upstream == \"127.0.0.1:$((FLEET_UPSTREAM_PORT + $1))\") | .phase == \"$2\""; }
 
--- a/tests/fleet/lib.sh
+++ b/tests/fleet/lib.sh
@@ -60,6 +60,17 @@
 # call_idempotent N PATH: like call, for a request that may be retried and has a deadline of 4 s.
 call_idempotent() { call "$1" "$2" -H 'Lspar-Idempotent: true' -H 'Lspar-Deadline-Ms: 4000'; }
 
+# send_requests COUNT: sends idempotent requests through all instances in parallel, waits for the answers and appends them
+# to the file `answers`.
+send_requests() {
+    local i senders=()
+    for ((i = 0; i < $1; i++)); do
+        call_idempotent $((i % FLEET_INSTANCES)) a >>"$FLEET_DIR/answers" &
+        senders+=($!)
+    done
+    wait "${senders[@]}"
+}
+
 # request_ids N COUNT: prints request identifiers that instance N owns, one per line.
 request_ids() {
     curl -s -m 5 "http://$(fleet_callers "$1")/v1/addresses?service=$FLEET_SERVICE&ids=$2" | jq -r '.request_ids[]'
@@ -92,5 +103,6 @@
 is_version_accepted() { all_dumps_match "$(accepted_version_filter) == $1"; }
 
 upstream_fault() { curl -s -m 5 -X POST "http://$FLEET_CONTROL/control/fault?$1"; }
+upstream_clock_ms() { curl -s -m 5 "http://$FLEET_CONTROL/control/stats" | jq .clock_ms; }
 upstream_stat() { curl -s -m 5 "http://$FLEET_CONTROL/control/stats" | jq ".upstreams[$1].$2"; }
 upstream_total() { curl -s -m 5 "http://$FLEET_CONTROL/control/stats" | jq "[.upstreams[].$1] | add"; }
--- a/tests/fleet/upstreamnotices.sh
+++ b/tests/fleet/upstreamnotices.sh
@@ -3,16 +3,6 @@
 # an upstream has named.
 source "$(dirname "$0")/lib.sh"
 start_fleet
-# send_requests COUNT: sends requests through all instances in parallel and waits for the answers.
-send_requests() {
-    local i senders=()
-    for ((i = 0; i < $1; i++)); do
-        call_idempotent $((i % FLEET_INSTANCES)) a >>"$FLEET_DIR/answers" &
-        senders+=($!)
-    done
-    wait "${senders[@]}"
-}
-upstream_clock_ms() { curl -s -m 5 "http://$FLEET_CONTROL/control/stats" | jq .clock_ms; }
 has_rejected() { (($(upstream_stat 0 shed) > 0)); }
 
 # A pause that outlasts the test: only requests that were on their way may arrive after the first rejection.
