tests: a listener that accepts no malformed traffic fails the fleet test

Cause: the sender of malformed traffic ended in '|| true', so traffic that never reached a listener passed too. Change: a refused connection fails the test at its end; a connection that the process closes while data is written still does not.

--- a/tests/fleet/malformedtraffic.sh
+++ b/tests/fleet/malformedtraffic.sh
@@ -7,9 +7,16 @@
     # shellcheck disable=SC2059
     printf "$(awk -v seed="$1" -v size="$2" 'BEGIN {srand(seed); while (size--) printf "\\x%02x", int(rand() * 256)}')"
 }
-# send PROTOCOL ENDPOINT: sends standard input and closes the connection. The process may close the connection while the
-# data is still being written; the write error is not a failure.
-send() { cat >"/dev/$1/${2/://}" 2>/dev/null || true; }
+# send PROTOCOL ENDPOINT: sends standard input and closes the connection. A listener that accepts no connection fails the
+# test at its end. The process may close the connection while the data is still being written; that is no failure.
+send() {
+    if exec 4<>"/dev/$1/${2/://}"; then
+        cat >&4 2>/dev/null
+        exec 4>&-
+    else
+        echo "$1 $2" >>"$FLEET_DIR/unreachable"
+    fi
+}
 # refused_datagrams COUNT: succeeds once instance 0 has counted this many refused datagrams.
 refused_datagrams() { (($(metric_sum 0 lspar_gossip_refused_total) >= $1)); }
 
@@ -37,4 +44,5 @@
 is_running instance0 || fail "the process ended"
 expect_equal "200 answered " "$(call_idempotent 0 a)" "answer to a request after the malformed traffic"
 dump_matches 0 '.process.state == "ready"' || fail "the instance is no longer ready"
+[[ ! -e $FLEET_DIR/unreachable ]] || fail "not accepted: $(sort "$FLEET_DIR/unreachable" | uniq -c | xargs)"
 stop_fleet
