upstream constraints: clearer comment

Cause: the comment spoke of a request that an upstream has made, in a file about requests to upstreams. Change: wording only.

--- a/include/laburnumspar/upstreamconstraints.h
+++ b/include/laburnumspar/upstreamconstraints.h
@@ -26,7 +26,7 @@
 double parseRequestRate(std::string_view text);
 
 /// Keeps what the upstreams of a service have asked for with their answers, and decides whether a request may be sent
-/// to one of them. Outlives the entries of the upstreams, so that a request that an upstream has made holds although
+/// to one of them. Outlives the entries of the upstreams, so that what an upstream has asked for holds although
 /// its entry is removed and added again.
 class UpstreamConstraints
 {
