--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -63,7 +63,7 @@
         unsigned failures = 0;
         Milliseconds successAge{0}; ///< time since the newest successful attempt started
         bool leaving = false; ///< the upstream takes no new requests
-        std::optional<double> requestRate{}; ///< as in UpstreamNotice, if it has been or is limited
+        std::optional<double> requestRate{}; ///< newest rate, as in UpstreamNotice; empty: no news
     };
 
     /// Availability zone of an upstream; empty if it is unknown.
@@ -169,7 +169,7 @@
     /// Probability of a fault, from finished and pending attempts.
     double faultProbability(const Upstream &upstream, TimePoint now) const;
     double externalLoadOf(const Upstream &upstream, TimePoint now) const;
-    /// Whether the upstream has not asked to be left alone, now or for good.
+    /// Whether what the upstream has asked for allows a request now.
     bool isAllowed(const Upstream &upstream, TimePoint now) const;
     /// Whether a request may be sent to the upstream now and it has a free slot.
     bool isAvailable(const Upstream &upstream, TimePoint now) const;
--- a/src/upstreamconstraints.cpp
+++ b/src/upstreamconstraints.cpp
@@ -11,10 +11,8 @@
 constexpr Milliseconds MaxConstraintAge{600'000};
 /// A longer pause counts as this one, so that a wrong value does not take an upstream out of use for good.
 constexpr Milliseconds MaxPause{300'000};
-
-/// Requests that may be sent at once after a pause, as the time in which the rate would allow them.
+/// Unused requests that are saved at most, as the time in which the rate allows them.
 constexpr double BurstSeconds = 0.5;
-
 /// A lower rate means that the upstream takes no requests.
 constexpr double MinRate = 0.001;
 
