--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -123,7 +123,7 @@
         self.watchers = {}  # name of an instance: time of its last call
         self.servers = []
         self.items = {}  # key: (value bytes, rev, created_rev)
-        self.events = []  # (rev, key, item or None)
+        self.events = []  # (rev, key, event as JSON, time)
         self.rev = 1
         self.changed = asyncio.Event()
         self.calls = 0
@@ -145,21 +145,22 @@
         self.rev += 1
         created = self.items[key][2] if key in self.items else self.rev
         self.items[key] = (data, self.rev, created)
-        self.note(key, self.items[key])
+        self.note(key, json.dumps(self.item(key, self.items[key])))
         if note:
-            self.record(f"store acknowledges {note}: {key} rev {self.rev} {data.decode()[:300]}")
+            self.record(f"store acknowledges {note}: {key} rev {self.rev} {data[:300].decode()}")
 
     def remove(self, key, note=None):
         if key in self.items:
             self.rev += 1
             del self.items[key]
-            self.note(key, None)
+            self.note(key, json.dumps({"key": key, "rev": self.rev, "deleted": True}))
             if note:
                 self.record(f"store acknowledges {note}: {key} removed, rev {self.rev}")
 
-    def note(self, key, item):
+    def note(self, key, event):
+        """`event`: as JSON, since large values are slow to encode for each watch."""
         now = time.monotonic()
-        self.events.append((self.rev, key, item, now))
+        self.events.append((self.rev, key, event, now))
         while now - self.events[0][3] > self.HISTORY_S:
             self.dropped = self.events.pop(0)[0]
         self.changed.set()
@@ -171,11 +172,7 @@
         return {"key": key, "value": base64.b64encode(value).decode(), "rev": rev, "created_rev": created, "lease": 0}
 
     def events_after(self, prefix, after):
-        return [
-            self.item(key, item) if item else {"key": key, "rev": rev, "deleted": True}
-            for rev, key, item, _ in self.events
-            if rev > after and key.startswith(prefix)
-        ]
+        return [event for rev, key, event, _ in self.events if rev > after and key.startswith(prefix)]
 
     async def answer(self, target):
         path, _, query = target.partition("?")
@@ -201,7 +198,7 @@
                     await asyncio.wait_for(self.changed.wait(), end - time.monotonic())
                 except asyncio.TimeoutError:
                     break
-            return 200, {"events": self.events_after(prefix, after), "as_of": self.rev}
+            return 200, f'{{"events":[{",".join(self.events_after(prefix, after))}],"as_of":{self.rev}}}'
         return 404, {}
 
     async def serve(self, reader, writer, name):
@@ -211,7 +208,7 @@
                 self.calls += 1
                 self.watchers[name] = time.monotonic()
                 status, body = await self.answer(request.start.split(" ")[1])
-                data = json.dumps(body).encode()
+                data = (body if isinstance(body, str) else json.dumps(body)).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
                     f"Content-Length: {len(data)}\r\n\r\n".encode() + data
@@ -500,6 +497,12 @@
 
     def put_config(self, routes, limits=None, services=("ordini", "vetrina")):
         """`routes`: tuples of name, prefix, kind, timeout_s, slo_s, priority, service, attempts."""
+        version, config = self.build_config(routes, limits, services)
+        self.store.put("op/config", config, f"configuration r{version}")
+        return version
+
+    def build_config(self, routes, limits=None, services=("ordini", "vetrina")):
+        """Returns the next version and its value, encoded, so that a storm is not held up by it."""
         self.version += random.randint(1, 3)
         config = {
             "version": f"r{self.version}",
@@ -514,8 +517,7 @@
             "limits": limits
             or {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
         }
-        self.store.put("op/config", config, f"configuration r{self.version}")
-        return self.version
+        return self.version, json.dumps(config).encode()
 
     async def start(self):
         await self.store.start([it.name for it in self.instances])
