gateway: log the phases of a stop and the requests that an exit cuts

Cause: around planned stops, requests that had been passed on ended without an answer.

Change: instance.stop-phase gives the moment of each phase of a stop, request.unanswered names each request that is cut with its phase and age, and connection.closed-unread an answer after which a connection is closed with unread bytes. No decision changes.

--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -61,6 +61,7 @@
     }
     ~Session()
     {
+        logIfUnanswered();
         releasePendingBytes();
         m_state->sessions.erase(this);
     }
@@ -91,6 +92,21 @@
         }
     }
 
+    /// Logs the request if it has been read and its answer has not been written. Must be called before the process
+    /// exits, which does not destroy sessions.
+    void logIfUnanswered()
+    {
+        if (m_phase != Phase::Waiting && m_phase != Phase::Writing) {
+            return;
+        }
+        const auto took = std::chrono::duration<double, std::milli>(Clock::now() - m_arrived);
+        logEvent(LogLevel::Warning,
+                 "request.unanswered",
+                 {{"request", m_requestId},
+                  {"phase", m_phase == Phase::Waiting ? "waiting" : "writing"},
+                  {"ms", took.count()}});
+    }
+
     bool hasRequest() const
     {
         return m_phase == Phase::Reading || m_phase == Phase::Waiting || m_phase == Phase::Writing
@@ -226,7 +242,9 @@
             refuseAsLeaving(message);
             return;
         }
-        m_request = makeForwardedRequest(std::move(message), m_state->headers, Clock::now());
+        m_arrived = Clock::now();
+        m_request = makeForwardedRequest(std::move(message), m_state->headers, m_arrived);
+        m_requestId = m_request.id;
         watchForClose();
         forward();
     }
@@ -294,6 +312,10 @@
         asio::async_write(m_socket, bufs, [self = shared_from_this()](error_code ec, std::size_t) {
             self->m_timer.cancel();
             self->m_body = {};
+            if (!ec && self->m_closeAfter && self->hasUnreadData()) {
+                // Closing resets the connection, so that the caller may lose the end of the answer.
+                logEvent(LogLevel::Info, "connection.closed-unread", {{"request", self->m_requestId}});
+            }
             if (ec || self->m_closeAfter) {
                 self->close();
             } else {
@@ -358,6 +380,8 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::size_t m_pendingBytes = 0; ///< part of State::pendingBodyBytes
     ForwardedRequest m_request;
+    std::string m_requestId; ///< of the last request that was read completely
+    TimePoint m_arrived; ///< when it was read
     std::shared_ptr<Forwarding> m_forwarding;
     std::string m_head;
     std::string m_body;
@@ -415,6 +439,7 @@
     m_state->closing = true;
     m_listener.close();
     for (auto *session : std::vector<Session *>(m_state->sessions.begin(), m_state->sessions.end())) {
+        session->logIfUnanswered();
         session->closeIfIdle();
     }
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -143,6 +143,7 @@
     asio::steady_timer ticker;
     std::optional<TimePoint> stopRequestedAt;
     bool finishing = false; ///< no connections are accepted any more
+    bool refusing = false; ///< new requests are refused
     bool hadTraffic = false; ///< whether the instance was active or had callers when the stop was requested
     double load = 0; ///< smoothed CPU usage, in thousandths of a core
     double lastCpuSeconds = processCpuSeconds();
@@ -329,6 +330,9 @@
         flushLog();
         if (stopRequestedAt && now - *stopRequestedAt >= MaxAddressLifetimes * AddressLifetime) {
             // A request that arrives this late might not be answered before the process has to exit.
+            if (!std::exchange(refusing, true)) {
+                logStopPhase("refusing", now);
+            }
             callers.refuseRequests();
         }
         if (stopRequestedAt && canExit(now)) {
@@ -336,6 +340,7 @@
         } else if (stopRequestedAt && !finishing && hasStopped(now)) {
             // The next ticks read and refuse what has arrived meanwhile.
             finishing = true;
+            logStopPhase("finishing", now);
             callers.finishAccepting();
         }
     }
@@ -377,11 +382,23 @@
         return now - *stopRequestedAt >= settings.bounds.graceTime - StopMargin || (finishing && hasStopped(now));
     }
 
+    void logStopPhase(std::string_view phase, TimePoint now) const
+    {
+        logEvent(LogLevel::Info,
+                 "instance.stop-phase",
+                 {{"phase", phase},
+                  {"ms", std::chrono::duration<double, std::milli>(now - *stopRequestedAt).count()},
+                  {"requests", callers.activeRequests()},
+                  {"in_flight", forwarder.inFlight()}});
+    }
+
     void shutDown()
     {
         logEvent(LogLevel::Info,
                  "instance.stopped",
-                 {{"in_flight", forwarder.inFlight()}, {"connections", callers.connections()}});
+                 {{"ms", std::chrono::duration<double, std::milli>(Clock::now() - *stopRequestedAt).count()},
+                  {"in_flight", forwarder.inFlight()},
+                  {"connections", callers.connections()}});
         callers.close();
         context.stop();
     }
