soak: stops in calm while callers with long requests use the instances until they are gone, known red

Why no test saw it: the fault soak executes requests for about 30 ms, and its check ends with the process, so that what an exit cuts was never judged. rollingreplacement.sh has a long request at each stop, but on the product's own interface.

LateCallers keep using it as callers with a cached address do; their requests take 30 ms to 4.2 s. Each request has to get a final answer, and an executed one may be broken off only in the last sixth of the grace period, and only if it was sent within 3 s of SIGTERM.

--- a/tools/lspar-soak/instanceprocesses.cpp
+++ b/tools/lspar-soak/instanceprocesses.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/// Time within which a process must exit after SIGTERM; grace_s in its settings.
-constexpr Milliseconds GracePeriod{6000};
 /// Time after a disturbance for which an instance may still use outdated state.
 constexpr Milliseconds SettleTime{3000};
 
--- a/tools/lspar-soak/instanceprocesses.h
+++ b/tools/lspar-soak/instanceprocesses.h
@@ -10,6 +10,9 @@
 
 namespace laburnumspar::soak {
 
+/// Time within which a process must exit after SIGTERM; grace_s in its settings.
+constexpr Milliseconds GracePeriod{6000};
+
 /// Runs the instances of the fleet as child processes. Sends signals only to processes that it has started.
 class InstanceProcesses
 {
--- a/tools/lspar-soak/main.cpp
+++ b/tools/lspar-soak/main.cpp
@@ -27,7 +27,8 @@
         "program", po::value(&options.program)->required(), "path of the laburnumspar program")(
         "directory", po::value(&options.directory)->required(), "directory for settings and logs")(
         "seed", po::value(&options.seed), "random seed of the faults")(
-        "seconds", po::value(&options.seconds), "duration of the phase with faults, in seconds")(
+        "stops", po::bool_switch(), "stop instances in calm instead of injecting faults")(
+        "seconds", po::value(&options.seconds), "duration of the phase with faults or stops, in seconds")(
         "instances", po::value(&options.instances), "number of instances")(
         "upstreams", po::value(&options.upstreams), "initial number of upstreams")(
         "callers", po::value(&options.callers), "number of callers")(
@@ -40,6 +41,7 @@
             return 0;
         }
         po::notify(values);
+        options.scenario = values["stops"].as<bool>() ? soak::Scenario::Stops : soak::Scenario::Faults;
         std::signal(SIGPIPE, SIG_IGN);
         configureLog("warning", "keyvalue");
         std::filesystem::create_directories(options.directory);
--- a/tools/lspar-soak/simulatedupstream.cpp
+++ b/tools/lspar-soak/simulatedupstream.cpp
@@ -84,6 +84,17 @@
     return m_fault != UpstreamFault::None && std::uniform_real_distribution<>(0, 1)(m_random) < AffectedShare;
 }
 
+Clock::duration SimulatedUpstream::executionTime(std::string_view target)
+{
+    constexpr std::string_view WorkParameter = "?work_ms=";
+    if (const auto at = target.find(WorkParameter); at != std::string_view::npos) {
+        return Milliseconds(std::stoi(std::string(target.substr(at + WorkParameter.size()))));
+    }
+    const double seconds
+        = std::lognormal_distribution<>(std::log(MedianExecutionSeconds), ExecutionTimeSigma)(m_random);
+    return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+}
+
 awaitable<void> SimulatedUpstream::serve(tcp::socket socket)
 {
     boost::beast::flat_buffer buf;
@@ -119,11 +130,8 @@
     }
     m_checker.recordExecution(id, m_identity.id, Clock::now());
     ++m_running;
-    const double seconds
-        = std::lognormal_distribution<>(std::log(MedianExecutionSeconds), ExecutionTimeSigma)(m_random);
-    const auto executionTime = std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
-    co_await detail::sleepFor(affected && m_fault == UpstreamFault::Hang ? Clock::duration(HangDuration)
-                                                                         : executionTime);
+    const auto time = executionTime(toStdString(request.target()));
+    co_await detail::sleepFor(affected && m_fault == UpstreamFault::Hang ? Clock::duration(HangDuration) : time);
     --m_running;
     if (affected && (m_fault == UpstreamFault::Hang || m_fault == UpstreamFault::DropResponse)) {
         boost::system::error_code ignored;
--- a/tools/lspar-soak/simulatedupstream.h
+++ b/tools/lspar-soak/simulatedupstream.h
@@ -22,7 +22,8 @@
 /// Name of a fault in the log.
 std::string_view nameOf(UpstreamFault fault);
 
-/// Simulated upstream that reports each execution to the GuaranteeChecker.
+/// Simulated upstream that reports each execution to the GuaranteeChecker. A request whose target ends in "?work_ms=N"
+/// is executed for that time, others for a random time.
 class SimulatedUpstream
 {
 public:
@@ -53,6 +54,7 @@
     awaitable<bool> sendNotExecuted(tcp::socket &socket, detail::http::status status, const std::string &requestId);
     /// Decides at random whether the fault affects the next request.
     bool drawAffected();
+    Clock::duration executionTime(std::string_view target);
 
     asio::io_context &m_context;
     Identity m_identity;
--- a/tools/lspar-soak/soaktest.cpp
+++ b/tools/lspar-soak/soaktest.cpp
@@ -31,6 +31,11 @@
 constexpr Milliseconds DrainingItemLifetime{1500};
 /// Interval at which the store may keep a copy or return to it.
 constexpr Milliseconds HistoryInterval{1000};
+/// Pause between the end of an instance that was stopped and the next stop. A calm second precedes each stop.
+constexpr Milliseconds StopInterval{1500};
+/// Long enough for requests that outlast the grace period.
+constexpr double StopRouteTimeoutSeconds = 5;
+constexpr double RouteTimeoutSeconds = 2;
 constexpr char Service[] = "work";
 
 } // namespace
@@ -42,6 +47,7 @@
     , m_instances(m_options.program, m_options.directory, m_layout, m_checker)
     , m_store(m_context, m_layout.store())
     , m_callers(m_context, m_layout, m_instances, m_checker, m_options.seed + 1)
+    , m_lateCallers(m_context, m_layout, m_instances, m_checker, m_options.seed + 2)
     , m_lossRandom(m_options.seed)
     , m_startTime(Clock::now())
 {
@@ -114,8 +120,9 @@
 {
     ++m_newestVersion;
     json::array rows;
+    const double timeout = m_options.scenario == Scenario::Stops ? StopRouteTimeoutSeconds : RouteTimeoutSeconds;
     const auto add = [&](const std::string &name, const std::string &prefix, const char *kind, unsigned attempts) {
-        rows.push_back(json::array{name, "soak.example", prefix, kind, 2, 0.3, 1, Service, attempts});
+        rows.push_back(json::array{name, "soak.example", prefix, kind, timeout, 0.3, 1, Service, attempts});
     };
     add("safe", "/safe/", "safe", 2);
     add("unsafe", "/unsafe/", "unsafe", 2);
@@ -328,6 +335,18 @@
     after(randomDuration(150, 900), [this] { performRandomAction(); });
 }
 
+void SoakTest::stopInstances()
+{
+    if (m_faultsStopped) {
+        return;
+    }
+    const auto n = m_stops++ % m_options.instances;
+    log("instance " + std::to_string(n) + " receives SIGTERM in calm");
+    m_instances.terminate(n);
+    m_lateCallers.useUntilGone(n);
+    after(GracePeriod + StopInterval, [this] { stopInstances(); });
+}
+
 void SoakTest::stopFaults()
 {
     log("no more faults are injected");
@@ -349,16 +368,19 @@
             }
         }
     });
-    m_store.keepCopy();
-    every(HistoryInterval, [this] {
-        putOddEntry();
-        disturbStoreHistory();
-    });
+    const bool stops = m_options.scenario == Scenario::Stops;
+    if (!stops) {
+        m_store.keepCopy();
+        every(HistoryInterval, [this] {
+            putOddEntry();
+            disturbStoreHistory();
+        });
+    }
     every(ProbeInterval, [this] { m_callers.probeVersion(randomBelow(m_options.instances)); });
     const auto total = WarmUpTime + Milliseconds(m_options.seconds * 1000) + RecoveryTime;
-    after(WarmUpTime, [this] {
+    after(WarmUpTime, [this, stops] {
         m_callers.start(m_options.callers);
-        performRandomAction();
+        stops ? stopInstances() : performRandomAction();
     });
     after(total - RecoveryTime, [this] { stopFaults(); });
     after(total - MeasuredRecoveryTime, [this] { m_checker.takeSuccessRate(); });
--- a/tools/lspar-soak/soaktest.h
+++ b/tools/lspar-soak/soaktest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callers.h"
+#include "latecallers.h"
 #include "simulatedstore.h"
 #include "simulatedupstream.h"
 
@@ -8,19 +9,26 @@
 
 namespace laburnumspar::soak {
 
+/// What happens to the fleet in a test run.
+enum class Scenario : std::uint8_t {
+    Faults, ///< random faults
+    Stops, ///< no faults; instances are stopped in turn while callers with long requests use them until they are gone
+};
+
 /// Command line options of lspar-soak.
 struct Options {
+    Scenario scenario = Scenario::Faults;
     std::string program; ///< path of the laburnumspar program
     std::string directory; ///< for settings and logs of the instances
     std::uint64_t seed = 1;
-    unsigned seconds = 20; ///< duration of the phase with faults
+    unsigned seconds = 20; ///< duration of the phase with faults or stops
     unsigned instances = 6;
     unsigned upstreams = 6; ///< initial number
     unsigned callers = 30;
     std::uint16_t basePort = 21000;
 };
 
-/// Soak test: runs a fleet with a store, upstreams and callers, and injects random faults that the seed determines.
+/// Soak test: runs a fleet with a store, upstreams and callers through a scenario that the seed determines.
 class SoakTest
 {
 public:
@@ -46,6 +54,8 @@
     void publishRoutes();
     /// Injects a random fault or makes a random change, and schedules the next.
     void performRandomAction();
+    /// Stops an instance, and repeats this with the next one when it has ended.
+    void stopInstances();
     void injectStoreFault();
     void injectUpstreamFault();
     /// Keeps a copy of the store now and then, and sometimes makes the store return to it.
@@ -75,6 +85,7 @@
     InstanceProcesses m_instances;
     SimulatedStore m_store;
     Callers m_callers;
+    LateCallers m_lateCallers;
     std::vector<std::unique_ptr<FaultProxy>> m_storeProxies;
     std::vector<std::unique_ptr<Upstream>> m_upstreams;
     std::mt19937_64 m_lossRandom; ///< apart from m_random, so that losses do not change the sequence of other faults
@@ -85,6 +96,7 @@
     TimePoint m_startTime;
     TimePoint m_storeDisturbedAt;
     bool m_faultsStopped = false;
+    unsigned m_stops = 0; ///< number of instances that were stopped
 };
 
 } // namespace laburnumspar::soak
