caller sessions: a request owns the session of its caller until it is answered

Callers saw: a connection closed without an answer as soon as any byte arrived while a request ran: the start of the next request, an empty line after a body, or the end of the caller's sending side.

Cause: while a request waited, the only owner of its session was the handler of one wait for readability; the handler given to the forwarder held a weak pointer. The wait ended with the first byte and was not begun again, and with bytes that had come together with the request it was not begun at all. Class of fault: an object whose only owner is the handler of one operation.

Change: the answer handler owns the session, and the server aborts what is left when it ends, which breaks the cycle. The wait for readability is renewed until the connection ends. Up to 16 KiB of later requests are read early and served in order after the answer; beyond that the connection is only checked for a close. A close or half-close cancels what is idempotent and refuses what was not sent yet; an unsafe request that runs gets its answer written. A connection that is closed after its last answer is drained for up to 1 s if unread bytes would reset it.

Looked through src/gateway, src/net and src/detail for objects that one handler owns: HttpServer's connection and Listener run as coroutines that own themselves to their end; ActiveExchange is held by Forwarding and by its socket operations, and cancel() drops its handler; Forwarding is held by its exchanges' handlers and by its session; GroupLink, StoreFollower and HttpChannel are members of the gateway. None of them ends by an unrelated event.

--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -4,10 +4,11 @@
 #include "net/listener.h"
 
 #include <memory>
-#include <set>
 
 namespace laburnumspar::detail {
 
+struct CallerSessions;
+
 /// Accepts connections of callers and passes their requests to the forwarder. Not thread-safe.
 class CallerServer
 {
@@ -28,8 +29,11 @@
     void start();
     /// From now on, connections are closed after the next answer.
     void startClosing();
-    /// From now on, new requests are refused as not run. Requests that have already been read are still answered.
-    void refuseRequests();
+    /// Requests that are read from this time on are refused as not run. Those that have been read before are still
+    /// answered.
+    void refuseFrom(TimePoint time);
+    /// Refuses the requests that have not been read completely as not run.
+    void refuseUnread();
     /// Accepts the connections that are waiting, then no others. Requests that have arrived on idle connections are
     /// read and refused.
     void finishAccepting();
@@ -41,9 +45,7 @@
     std::size_t activeRequests() const;
 
 private:
-    class Session;
-    struct State;
-    std::shared_ptr<State> m_state;
+    std::shared_ptr<CallerSessions> m_sessions;
     Listener m_listener;
 };
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -23,6 +23,7 @@
     , m_headers(headers)
     , m_metrics(metrics)
     , m_connections(context, headers, maxAnswerBytes)
+    , m_active(std::make_shared<std::set<Forwarding *>>())
 {
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace laburnumspar::detail {
 
@@ -48,7 +49,7 @@
     /// Requests that have not been finished, including queued ones.
     std::size_t inFlight() const
     {
-        return m_inFlight;
+        return m_active->size();
     }
 
 private:
@@ -61,7 +62,7 @@
     UpstreamConnections m_connections;
     std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> m_queued; ///< by ticket of the queue entry
     RequestQueue::Ticket m_nextTicket = 1;
-    std::size_t m_inFlight = 0;
+    std::shared_ptr<std::set<Forwarding *>> m_active; ///< shared with the requests, which may outlive the forwarder
 };
 
 } // namespace laburnumspar::detail
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -30,6 +30,7 @@
 constexpr Milliseconds AnswerMargin{20};
 constexpr Milliseconds MinRetryAfter{100};
 constexpr Milliseconds MaxRetryAfter{2000};
+constexpr std::string_view CallerClosed = "caller has closed its connection";
 /// An attempt that is cancelled before this quantile of the route's latencies does not count against its upstream.
 constexpr double TimeoutQuantile = 0.9;
 
@@ -90,18 +91,19 @@
     , m_deadline(route.timeout.count() > 0
                      ? std::min(m_request.deadline - AnswerMargin, m_request.arrived + route.timeout)
                      : m_request.deadline - AnswerMargin)
+    , m_active(forwarder.m_active)
 {
-    ++m_forwarder.m_inFlight;
+    m_active->insert(this);
 }
 
 Forwarding::~Forwarding()
 {
-    --m_forwarder.m_inFlight;
+    m_active->erase(this);
 }
 
 void Forwarding::start()
 {
-    if (m_abandoned) {
+    if (!m_handler) {
         return;
     }
     const auto now = Clock::now();
@@ -303,6 +305,10 @@
         onFailed(now);
         return;
     }
+    if (m_callerClosed) {
+        refuse(CallerClosed, now);
+        return;
+    }
     // An unreachable upstream has not counted the request, so sending it elsewhere takes nothing from the retry budget.
     if (outcome != AttemptOutcome::Unreachable && !m_service.budget.trySpend(now)) {
         refuse("repeat budget is spent", now);
@@ -442,7 +448,6 @@
 
 void Forwarding::abandon()
 {
-    m_abandoned = true;
     if (!m_handler) {
         return;
     }
@@ -459,6 +464,21 @@
     }
 }
 
+void Forwarding::onCallerClosed()
+{
+    if (!m_handler) {
+        return;
+    }
+    m_callerClosed = true;
+    const auto now = Clock::now();
+    if (m_attempts.empty()) {
+        m_runs == 0 ? refuse(CallerClosed, now) : giveUp(http::status::gateway_timeout, CallerClosed, now);
+    } else if (m_route.idempotent) {
+        giveUp(http::status::gateway_timeout, CallerClosed, now);
+        m_forwarder.dispatchQueued(m_service);
+    }
+}
+
 void Forwarding::reportAttempt(
     const Attempt &attempt, AttemptOutcome outcome, unsigned status, std::string_view detail, TimePoint now) const
 {
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -26,8 +26,11 @@
 
     /// Starts an attempt, or queues the request if no upstream has a free slot.
     void start();
-    /// Called when the caller has closed its connection. The handler is not called any more.
+    /// Called when nobody can receive the answer any more. The handler is not called any more.
     void abandon();
+    /// Called when the caller has closed its connection or its sending side. The request is not sent to an upstream any
+    /// more. An attempt is cancelled only if the request is idempotent: the effect of others is wanted.
+    void onCallerClosed();
     /// Starts an attempt if an upstream has a free slot. Returns true if it has been started.
     bool tryStart(TimePoint now);
     /// Refuses the request if it is queued and can no longer be answered before its deadline.
@@ -81,7 +84,8 @@
     std::optional<CallerAnswer> m_failureAnswer; ///< answer of an upstream that ran the request and failed
     std::optional<TimePoint> m_firstAttemptAt;
     unsigned m_runs = 0; ///< number of attempts that may have run
-    bool m_abandoned = false;
+    bool m_callerClosed = false;
+    std::shared_ptr<std::set<Forwarding *>> m_active; ///< contains this object
 };
 
 } // namespace laburnumspar::detail
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -333,7 +333,7 @@
             if (!std::exchange(refusing, true)) {
                 logStopPhase("refusing", now);
             }
-            callers.refuseRequests();
+            callers.refuseFrom(now);
         }
         if (stopRequestedAt && canExit(now)) {
             shutDown();
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 using namespace laburnumspar;
 using namespace laburnumspar::detail;
 using namespace std::chrono_literals;
@@ -152,6 +154,90 @@
     std::optional<http::response<http::string_body>> answer;
 };
 
+/// A caller that writes to its connection piece by piece, and reads whatever comes back.
+class RawCaller
+{
+public:
+    explicit RawCaller(asio::io_context &context)
+        : m_context(context)
+        , m_socket(context)
+    {
+        m_socket.connect(toAsio<tcp>(callerAddress));
+    }
+
+    void send(const std::string &text)
+    {
+        asio::write(m_socket, asio::buffer(text));
+    }
+    void sendRequest(const std::string &id, const std::string &body = "x")
+    {
+        send("POST /pay HTTP/1.1\r\nHost: a.example\r\nX-Id: " + id
+             + "\r\nX-Left: 3000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+    void closeSendingSide()
+    {
+        m_socket.shutdown(tcp::socket::shutdown_send);
+    }
+    void close()
+    {
+        m_socket.close();
+    }
+    void runFor(Milliseconds time)
+    {
+        m_context.restart();
+        m_context.run_for(time);
+    }
+    /// Runs until the texts of this many answers have arrived, at most for 5 seconds. Returns what has arrived.
+    std::string receive(unsigned answers)
+    {
+        const auto limit = Clock::now() + 5s;
+        const auto count = [this] {
+            unsigned n = 0;
+            for (auto at = m_received.find("HTTP/1.1 "); at != std::string::npos;
+                 at = m_received.find("HTTP/1.1 ", at + 1)) {
+                ++n;
+            }
+            return n;
+        };
+        while (count() < answers && Clock::now() < limit) {
+            runFor(10ms);
+            std::array<char, 65536> buf{};
+            const auto n = ::recv(m_socket.native_handle(), buf.data(), buf.size(), MSG_DONTWAIT);
+            m_received.append(buf.data(), std::size_t(std::max<ssize_t>(n, 0)));
+        }
+        return m_received;
+    }
+
+private:
+    asio::io_context &m_context;
+    tcp::socket m_socket;
+    std::string m_received;
+};
+
+/// An upstream that answers after a while.
+struct SlowFixture : Fixture {
+    explicit SlowFixture(bool idempotent = false)
+    {
+        serviceRegistry.applyRoutes(makeTable(idempotent));
+        addUpstream("i-1", firstAddress);
+        firstDelay = 300ms;
+        firstAnswer = [](const HttpRequest &request) { return signedAnswer(request, http::status::ok); };
+    }
+};
+
+struct SlowIdempotentFixture : SlowFixture {
+    SlowIdempotentFixture()
+        : SlowFixture(true)
+    {
+        firstDelay = 2s;
+    }
+};
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 } // namespace
 
 // Guards against refused requests just after the start, before the routes have been read, for example after
@@ -396,3 +482,84 @@
         firstAnswer = [](const HttpRequest &request) { return signedAnswer(request, http::status::ok); };
     }
 }
+
+// Guards against closing a connection without an answer when the caller sends its next request early.
+BOOST_FIXTURE_TEST_CASE(earlyRequestsAreAnsweredInOrder, SlowFixture)
+{
+    RawCaller caller(context);
+    caller.sendRequest("r1");
+    caller.runFor(100ms);
+    caller.sendRequest("r2");
+    caller.sendRequest("r3");
+    const auto answers = caller.receive(3);
+    BOOST_REQUIRE(contains(answers, "X-Id: r3"));
+    BOOST_TEST(answers.find("X-Id: r1") < answers.find("X-Id: r2"));
+    BOOST_TEST(answers.find("X-Id: r2") < answers.find("X-Id: r3"));
+}
+
+// Guards against losing a request whose successor arrives together with it.
+BOOST_FIXTURE_TEST_CASE(requestsThatArriveTogetherAreAnswered, SlowFixture)
+{
+    RawCaller caller(context);
+    caller.send("POST /pay HTTP/1.1\r\nHost: a.example\r\nX-Id: r1\r\nX-Left: 3000\r\nContent-Length: 1\r\n\r\nx"
+                "POST /pay HTTP/1.1\r\nHost: a.example\r\nX-Id: r2\r\nX-Left: 3000\r\nContent-Length: 1\r\n\r\nx");
+    BOOST_TEST(contains(caller.receive(2), "X-Id: r2"));
+}
+
+// Guards against closing a connection when an empty line follows a body, as some callers send it.
+BOOST_FIXTURE_TEST_CASE(emptyLinesBetweenRequestsAreIgnored, SlowFixture)
+{
+    RawCaller caller(context);
+    caller.sendRequest("r1", "x");
+    caller.send("\r\n");
+    BOOST_TEST(contains(caller.receive(1), "X-Id: r1"));
+    caller.send("\r\n");
+    caller.runFor(100ms);
+    caller.sendRequest("r2");
+    BOOST_TEST(contains(caller.receive(2), "X-Id: r2"));
+}
+
+// Guards against losing the answer of a caller that closes its sending side after its request.
+BOOST_FIXTURE_TEST_CASE(halfClosedConnectionsGetTheirAnswer, SlowFixture)
+{
+    RawCaller caller(context);
+    caller.sendRequest("r1");
+    caller.closeSendingSide();
+    BOOST_TEST(contains(caller.receive(1), "X-Id: r1"));
+}
+
+// Guards against early bytes without bound, and against a close that is not noticed behind them.
+BOOST_FIXTURE_TEST_CASE(closeBehindManyEarlyBytesIsNoticed, SlowIdempotentFixture)
+{
+    RawCaller caller(context);
+    caller.sendRequest("r1");
+    caller.runFor(50ms);
+    for (int n = 0; n < 8; ++n) {
+        caller.sendRequest("early" + std::to_string(n), std::string(8000, 'x'));
+        caller.runFor(10ms);
+    }
+    BOOST_REQUIRE(firstCancellation);
+    BOOST_TEST(!firstCancellation->isCancelled());
+    caller.close();
+    caller.runFor(600ms);
+    BOOST_TEST(firstCancellation->isCancelled());
+}
+
+// Guards against a reset that destroys the last answer on a connection because the caller has sent more.
+BOOST_FIXTURE_TEST_CASE(lastAnswerIsNotResetByUnreadBytes, SlowFixture)
+{
+    callers.startClosing();
+    RawCaller caller(context);
+    caller.sendRequest("r1");
+    caller.runFor(50ms);
+    for (int n = 0; n < 8; ++n) {
+        caller.sendRequest("early" + std::to_string(n), std::string(8000, 'x'));
+    }
+    caller.runFor(600ms);
+    // Sent after the answer has been written.
+    caller.send("more");
+    caller.runFor(50ms);
+    const auto answers = caller.receive(1);
+    BOOST_TEST(contains(answers, "X-Id: r1"));
+    BOOST_TEST(contains(answers, "Connection: close"));
+}
