gateway: a stopping instance takes only what it can answer, and answers all before it exits

Cause: a stopping instance took every request until the first tick, of 100 or 200 ms, after three seconds, whatever time it needed, and exited 5.4 s after SIGTERM without answering what still ran. Class of fault: work is accepted without regard to the end of the process that has to finish it.

Change: the end of the process is known to the forwarder as a time. A request is taken only if 95% of its route's requests would be answered by then, and refused as not run otherwise, at once. The end of service is a time that is checked as a request is read, not a tick, and it lies 0.15 s before three seconds, because a signal may be handled late; addresses are named for 0.95 s instead of 1 s, so that no caller uses them for longer. 0.6 s before the end of the grace time all that still runs gets a final answer: 503 with Retry-After if it was not sent to an upstream, else 504. The process exits when these are written. The tick no longer slows down at a stopping instance.

The three new cases of test_callerserver cannot be built before, as the end was no input.

--- a/scripts/faultsoak.sh
+++ b/scripts/faultsoak.sh
@@ -1,12 +1,14 @@
 #!/usr/bin/env bash
-# faultsoak.sh FIRST LAST [SECONDS] [JOBS]: runs the fault soak for each seed from FIRST to LAST, with real processes on
-# loopback. Prints one line per seed and keeps the directories of failed seeds. Exits with 1 if any seed failed.
+# faultsoak.sh FIRST LAST [SECONDS] [JOBS] [OPTION...]: runs the soak for each seed from FIRST to LAST, with real processes
+# on loopback and the options of lspar-soak, for example --stops. Prints one line per seed and keeps the directories of
+# failed seeds. Exits with 1 if any seed failed.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 first=${1:?first seed}
 last=${2:?last seed}
 seconds=${3:-15}
 jobs=${4:-3}
+options=${*:5}
 build=${BUILD_DIR:-build}
 work_dir=${SOAK_DIR:-$(mktemp -d)}
 run_seed() {
@@ -14,7 +16,7 @@
     mkdir -p "$directory"
     # Seeds that run in parallel use different ports.
     if "$build/lspar-soak" --program "$build/laburnumspar" --directory "$directory" --seed "$seed" \
-        --seconds "$seconds" --base-port $((21000 + seed % 500 * 10)) >"$directory/soak.log" 2>&1; then
+        --seconds "$seconds" --base-port $((21000 + seed % 500 * 10)) $options >"$directory/soak.log" 2>&1; then
         tail -n 1 "$directory/soak.log"
         rm -rf "$directory"
     else
@@ -24,8 +26,8 @@
     fi
 }
 export -f run_seed
-export work_dir build seconds
+export work_dir build seconds options
 seq "$first" "$last" | xargs -P "$jobs" -I{} bash -c 'run_seed {}'
 status=$?
-echo "fault soak, seeds $first to $last: $( ((status == 0)) && echo passed || echo FAILED)"
+echo "soak${options:+ with $options}, seeds $first to $last: $( ((status == 0)) && echo passed || echo FAILED)"
 exit "$status"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,3 +19,5 @@
 for seed in $(cut -d' ' -f1 tests/soakseeds.txt) 1; do
     scripts/faultsoak.sh "$seed" "$seed" 15 1
 done
+# Planned stops without any fault, under requests that may outlast them.
+scripts/faultsoak.sh 1 1 16 1 --stops --instances 3 --upstreams 12 --callers 12
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -73,6 +73,17 @@
     }
 }
 
+void Forwarder::endAll(TimePoint now)
+{
+    std::vector<std::shared_ptr<Forwarding>> active;
+    for (auto *it : *m_active) {
+        active.push_back(it->shared_from_this());
+    }
+    for (const auto &it : active) {
+        it->end(now);
+    }
+}
+
 void Forwarder::tick(TimePoint now)
 {
     std::vector<std::shared_ptr<Forwarding>> queued;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace laburnumspar::detail {
@@ -51,6 +52,13 @@
     {
         return m_active->size();
     }
+    /// From now on, requests that will probably not be answered by this time are refused as not run.
+    void endBy(TimePoint time)
+    {
+        m_endsAt = time;
+    }
+    /// Gives all requests their final answer. Those that have not been sent to an upstream are refused as not run.
+    void endAll(TimePoint now);
 
 private:
     friend class Forwarding;
@@ -63,6 +71,7 @@
     std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> m_queued; ///< by ticket of the queue entry
     RequestQueue::Ticket m_nextTicket = 1;
     std::shared_ptr<std::set<Forwarding *>> m_active; ///< shared with the requests, which may outlive the forwarder
+    std::optional<TimePoint> m_endsAt; ///< when the instance stops to forward
 };
 
 } // namespace laburnumspar::detail
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -30,6 +30,9 @@
 constexpr Milliseconds AnswerMargin{20};
 constexpr Milliseconds MinRetryAfter{100};
 constexpr Milliseconds MaxRetryAfter{2000};
+/// While the instance stops, it takes only requests that will probably be answered before it ends: this share of the
+/// route's requests takes no longer than the time that is left.
+constexpr double StopQuantile = 0.95;
 constexpr std::string_view CallerClosed = "caller has closed its connection";
 /// An attempt that is cancelled before this quantile of the route's latencies does not count against its upstream.
 constexpr double TimeoutQuantile = 0.9;
@@ -115,6 +118,10 @@
             self->onDeadline();
         }
     });
+    if (now + m_latency.quantile(StopQuantile) > latestEnd() && m_forwarder.m_endsAt) {
+        refuse("leaving", now);
+        return;
+    }
     // Requests that are queued already are started first.
     if (m_service.queue.size() > 0) {
         enqueue(now);
@@ -163,7 +170,7 @@
 bool Forwarding::refuseWithoutUpstream(TimePoint now)
 {
     const auto usableFrom = m_service.pool.usableFrom(now);
-    const auto latestStart = m_deadline - m_latency.quantile(MinTimeLeftQuantile);
+    const auto latestStart = latestEnd() - m_latency.quantile(MinTimeLeftQuantile);
     if (usableFrom && *usableFrom <= std::max(latestStart, now)) {
         return false;
     }
@@ -188,7 +195,7 @@
     // Requests past their latest start are overtaken by all others, so their expected wait counts twice; the expected
     // wait of the others does not count.
     const auto expected = expectedWait(now) * (m_queueEntry->startBy < now ? 2 : 0);
-    if (now + expected + m_latency.quantile(MinTimeLeftQuantile) > m_deadline) {
+    if (now + expected + m_latency.quantile(MinTimeLeftQuantile) > latestEnd()) {
         refuse("no slot within the deadline", now);
     }
 }
@@ -208,6 +215,11 @@
     return std::chrono::duration_cast<Milliseconds>(m_deadline - now);
 }
 
+TimePoint Forwarding::latestEnd() const
+{
+    return std::min(m_deadline, m_forwarder.m_endsAt.value_or(m_deadline));
+}
+
 void Forwarding::startAttempt(const UpstreamPool::Choice &choice, TimePoint now)
 {
     const auto &upstream = choice.upstream;
@@ -479,6 +491,11 @@
     }
 }
 
+void Forwarding::end(TimePoint now)
+{
+    m_runs == 0 ? refuse("leaving", now) : giveUp(http::status::gateway_timeout, "leaving", now);
+}
+
 void Forwarding::reportAttempt(
     const Attempt &attempt, AttemptOutcome outcome, unsigned status, std::string_view detail, TimePoint now) const
 {
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -31,6 +31,8 @@
     /// Called when the caller has closed its connection or its sending side. The request is not sent to an upstream any
     /// more. An attempt is cancelled only if the request is idempotent: the effect of others is wanted.
     void onCallerClosed();
+    /// Gives the request its final answer, because the instance stops.
+    void end(TimePoint now);
     /// Starts an attempt if an upstream has a free slot. Returns true if it has been started.
     bool tryStart(TimePoint now);
     /// Refuses the request if it is queued and can no longer be answered before its deadline.
@@ -48,6 +50,8 @@
     bool isFinalAttempt() const;
     Milliseconds expectedWait(TimePoint now) const;
     Milliseconds timeLeft(TimePoint now) const;
+    /// Time by which the request has to be answered.
+    TimePoint latestEnd() const;
     void startAttempt(const UpstreamPool::Choice &choice, TimePoint now);
     void enqueue(TimePoint now);
     void dequeue();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,12 +23,14 @@
 constexpr Milliseconds TickInterval{100};
 constexpr Milliseconds StandbyTickInterval{200};
 /// Lifetime of the answer to an address query.
-constexpr Milliseconds AddressLifetime{1000};
+constexpr Milliseconds AddressLifetime{950};
 /// Some callers use the answer to an address query for up to this many lifetimes, so an instance that stops keeps
 /// serving for as long.
 constexpr int MaxAddressLifetimes = 3;
-/// The process exits by itself this long before the end of the grace time.
+/// This long before the end of the grace time, all requests that still run get a final answer.
 constexpr Milliseconds StopMargin{600};
+/// The process exits by itself this long before the end of the grace time, even if answers have not been written.
+constexpr Milliseconds ExitMargin{250};
 /// Minimum time from the stop signal to the exit of an instance without traffic, so that the others learn that it
 /// leaves.
 constexpr Milliseconds IdleStopTime{300};
@@ -143,7 +145,7 @@
     asio::steady_timer ticker;
     std::optional<TimePoint> stopRequestedAt;
     bool finishing = false; ///< no connections are accepted any more
-    bool refusing = false; ///< new requests are refused
+    bool ended = false; ///< all requests have got a final answer
     bool hadTraffic = false; ///< whether the instance was active or had callers when the stop was requested
     double load = 0; ///< smoothed CPU usage, in thousandths of a core
     double lastCpuSeconds = processCpuSeconds();
@@ -306,11 +308,14 @@
         group.leave();
         link.announce();
         callers.startClosing();
+        callers.refuseFrom(now + servingTime());
+        forwarder.endBy(now + settings.bounds.graceTime - StopMargin);
     }
 
     void scheduleTick()
     {
-        const bool standby = group.self().role == InstanceRole::Standby && forwarder.inFlight() == 0;
+        const bool standby
+            = group.self().role == InstanceRole::Standby && forwarder.inFlight() == 0 && !stopRequestedAt;
         ticker.expires_after(standby ? StandbyTickInterval : TickInterval);
         ticker.async_wait([this](error_code ec) {
             if (!ec) {
@@ -328,16 +333,29 @@
         link.tick(now);
         forwarder.tick(now);
         flushLog();
-        if (stopRequestedAt && now - *stopRequestedAt >= MaxAddressLifetimes * AddressLifetime) {
-            // A request that arrives this late might not be answered before the process has to exit.
-            if (!std::exchange(refusing, true)) {
-                logStopPhase("refusing", now);
-            }
-            callers.refuseFrom(now);
+        if (stopRequestedAt) {
+            continueStop(now);
         }
-        if (stopRequestedAt && canExit(now)) {
+    }
+
+    /// Time for which a stopping instance serves the callers that still use its address.
+    Milliseconds servingTime() const
+    {
+        return std::min(MaxAddressLifetimes * AddressLifetime, settings.bounds.graceTime / 2);
+    }
+
+    void continueStop(TimePoint now)
+    {
+        const auto left = *stopRequestedAt + settings.bounds.graceTime - now;
+        if (left <= ExitMargin || (finishing && hasStopped(now))) {
             shutDown();
-        } else if (stopRequestedAt && !finishing && hasStopped(now)) {
+        } else if (left <= StopMargin && !ended) {
+            ended = true;
+            logStopPhase("ending", now);
+            callers.refuseFrom(now);
+            callers.refuseUnread();
+            forwarder.endAll(now);
+        } else if (!finishing && hasStopped(now)) {
             // The next ticks read and refuse what has arrived meanwhile.
             finishing = true;
             logStopPhase("finishing", now);
@@ -373,15 +391,10 @@
     /// Whether the instance has served for as long as callers use its address, and has nothing left to do.
     bool hasStopped(TimePoint now) const
     {
-        const auto minStopTime = hadTraffic ? MaxAddressLifetimes * AddressLifetime : IdleStopTime;
+        const auto minStopTime = hadTraffic ? servingTime() : IdleStopTime;
         return now - *stopRequestedAt >= minStopTime && callers.activeRequests() == 0 && forwarder.inFlight() == 0;
     }
 
-    bool canExit(TimePoint now) const
-    {
-        return now - *stopRequestedAt >= settings.bounds.graceTime - StopMargin || (finishing && hasStopped(now));
-    }
-
     void logStopPhase(std::string_view phase, TimePoint now) const
     {
         logEvent(LogLevel::Info,
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -563,3 +563,53 @@
     BOOST_TEST(contains(answers, "X-Id: r1"));
     BOOST_TEST(contains(answers, "Connection: close"));
 }
+
+// Guards against taking a request that outlasts the process, which would be broken off.
+BOOST_FIXTURE_TEST_CASE(requestsThatMayOutlastAStopAreRefused, SlowFixture)
+{
+    int runs = 0;
+    firstAnswer = [&](const HttpRequest &request) {
+        ++runs;
+        return signedAnswer(request, http::status::ok);
+    };
+    BOOST_TEST(sendAndWait() == 200U);
+    forwarder.endBy(Clock::now() + 10ms);
+    BOOST_TEST(sendAndWait() == 503U);
+    BOOST_TEST(runs == 1);
+    BOOST_TEST(!(*answer)[http::field::retry_after].empty());
+}
+
+// Guards against ending a connection without an answer when the process has to exit.
+BOOST_FIXTURE_TEST_CASE(runningRequestsGetAFinalAnswerWhenTheInstanceEnds, SlowFixture)
+{
+    firstDelay = 2s;
+    RawCaller caller(context);
+    caller.sendRequest("r1");
+    caller.runFor(100ms);
+    forwarder.endAll(Clock::now());
+    BOOST_TEST(contains(caller.receive(1), "HTTP/1.1 504"));
+    BOOST_TEST(callers.activeRequests() == 0U);
+}
+
+// Guards against answering "may have run" for a request that was never sent to an upstream.
+BOOST_FIXTURE_TEST_CASE(queuedRequestsAreRefusedWhenTheInstanceEnds, SlowFixture)
+{
+    firstDelay = 2s;
+    std::vector<std::unique_ptr<RawCaller>> running;
+    for (int n = 0; n < 20; ++n) {
+        running.push_back(std::make_unique<RawCaller>(context));
+        running.back()->sendRequest("r" + std::to_string(n));
+        running.back()->runFor(10ms);
+    }
+    forwarder.endAll(Clock::now());
+    unsigned notRun = 0;
+    unsigned mayHaveRun = 0;
+    for (const auto &it : running) {
+        const auto text = it->receive(1);
+        notRun += contains(text, "HTTP/1.1 503") && contains(text, "Retry-After") ? 1 : 0;
+        mayHaveRun += contains(text, "HTTP/1.1 504") ? 1 : 0;
+    }
+    BOOST_TEST(notRun + mayHaveRun == running.size());
+    BOOST_TEST(notRun > 0U);
+    BOOST_TEST(mayHaveRun > 0U);
+}
