soak: stops overlap each other and other planned work

Change: a third of the stops overlap the next one; during a stop come second SIGTERMs, reloads, new routes and upstreams that are replaced. A third of the late callers keep their connection for up to 2 s before they send a request on it. The grace period counts from the first SIGTERM.

--- a/tools/lspar-soak/instanceprocesses.cpp
+++ b/tools/lspar-soak/instanceprocesses.cpp
@@ -100,7 +100,8 @@
 void InstanceProcesses::terminate(unsigned n)
 {
     sendSignal(n, SIGTERM);
-    m_processes[n].stopRequestedAt = Clock::now();
+    auto &process = m_processes[n];
+    process.stopRequestedAt = process.stopRequestedAt.value_or(Clock::now());
 }
 
 void InstanceProcesses::kill(unsigned n)
--- a/tools/lspar-soak/instanceprocesses.h
+++ b/tools/lspar-soak/instanceprocesses.h
@@ -23,7 +23,7 @@
     InstanceProcesses &operator=(const InstanceProcesses &) = delete;
 
     void start(unsigned n);
-    /// Sends SIGTERM. The process must exit with status 0 within the grace period.
+    /// Sends SIGTERM. The process must exit with status 0 within the grace period, counted from the first SIGTERM.
     void terminate(unsigned n);
     void kill(unsigned n);
     void pause(unsigned n);
--- a/tools/lspar-soak/latecallers.cpp
+++ b/tools/lspar-soak/latecallers.cpp
@@ -17,6 +17,8 @@
 /// An answer this long before the deadline counts as a timeout, since instances answer shortly before it.
 constexpr Milliseconds DeadlineMargin{100};
 constexpr Milliseconds ConnectTimeout{1000};
+/// Longest time for which some callers keep a connection before they send a request on it.
+constexpr Milliseconds MaxIdleTime{2000};
 /// A request that was sent later than this after SIGTERM must not be broken off.
 constexpr Milliseconds LastExcusedSend{3000};
 /// A request that was sent earlier must not be broken off before this part of the grace period is over.
@@ -88,6 +90,9 @@
         stop->connectionRefused = true;
         co_return;
     }
+    if (m_random() % 3 == 0) {
+        co_await detail::sleepFor(Milliseconds(m_random() % unsigned(MaxIdleTime.count())));
+    }
     Request it;
     it.id = "late" + std::to_string(m_nextRequest++);
     const bool idempotent = m_random() % 4 == 0;
--- a/tools/lspar-soak/soaktest.cpp
+++ b/tools/lspar-soak/soaktest.cpp
@@ -31,7 +31,7 @@
 constexpr Milliseconds DrainingItemLifetime{1500};
 /// Interval at which the store may keep a copy or return to it.
 constexpr Milliseconds HistoryInterval{1000};
-/// Pause between the end of an instance that was stopped and the next stop. A calm second precedes each stop.
+/// Pause between the end of the grace period of a stop and the next one that does not overlap it.
 constexpr Milliseconds StopInterval{1500};
 /// Long enough for requests that outlast the grace period.
 constexpr double StopRouteTimeoutSeconds = 5;
@@ -341,10 +341,43 @@
         return;
     }
     const auto n = m_stops++ % m_options.instances;
+    if (!m_instances.isRunning(n) || m_instances.isStopping(n)) {
+        after(StopInterval, [this] { stopInstances(); });
+        return;
+    }
     log("instance " + std::to_string(n) + " receives SIGTERM in calm");
     m_instances.terminate(n);
     m_lateCallers.useUntilGone(n);
-    after(GracePeriod + StopInterval, [this] { stopInstances(); });
+    const auto left = unsigned(GracePeriod.count());
+    for (auto count = randomBelow(3); count > 0; --count) {
+        after(randomDuration(0, left), [this, n] { disturbStop(n); });
+    }
+    // A third of the stops overlap the next one.
+    const bool overlapping = randomBelow(3) == 0;
+    after(overlapping ? randomDuration(0, left) : GracePeriod + StopInterval, [this] { stopInstances(); });
+}
+
+void SoakTest::disturbStop(unsigned n)
+{
+    if (m_faultsStopped || !m_instances.isStopping(n)) {
+        return;
+    }
+    switch (randomBelow(4)) {
+    case 0:
+        log("instance " + std::to_string(n) + " receives another SIGTERM");
+        m_instances.terminate(n);
+        break;
+    case 1:
+        log("instance " + std::to_string(n) + " reloads its settings");
+        m_instances.reload(n);
+        break;
+    case 2:
+        log("new version of the routes");
+        publishRoutes();
+        break;
+    default:
+        replaceUpstream();
+    }
 }
 
 void SoakTest::stopFaults()
--- a/tools/lspar-soak/soaktest.h
+++ b/tools/lspar-soak/soaktest.h
@@ -54,8 +54,10 @@
     void publishRoutes();
     /// Injects a random fault or makes a random change, and schedules the next.
     void performRandomAction();
-    /// Stops an instance, and repeats this with the next one when it has ended.
+    /// Stops an instance, beside other planned work, and repeats this with the next one.
     void stopInstances();
+    /// Performs other planned work while an instance stops: a second signal, or a change of the routes or upstreams.
+    void disturbStop(unsigned n);
     void injectStoreFault();
     void injectUpstreamFault();
     /// Keeps a copy of the store now and then, and sometimes makes the store return to it.
