soak: both kinds of callers build their requests in one place

Cause: LateCallers repeated how Callers builds a request and which statuses mean that it has not run.

Change: callerrequest.h has both; no check changes.

--- a/tools/lspar-soak/callers.cpp
+++ b/tools/lspar-soak/callers.cpp
@@ -1,5 +1,6 @@
 #include "callers.h"
 
+#include "callerrequest.h"
 #include "platform/names.h"
 #include "simulatedupstream.h"
 
@@ -146,11 +147,9 @@
     exchange.id = "q" + std::to_string(m_nextRequest++);
     exchange.target = (idempotent ? "/safe/" : "/unsafe/") + exchange.id;
     exchange.body = idempotent ? "" : "body of " + exchange.id;
-    http::request<http::string_body> request{
-        idempotent ? http::verb::get : http::verb::post, exchange.target, 11, exchange.body};
-    request.set(http::field::host, "soak.example");
-    request.set(names::RequestId, exchange.id);
-    request.set(names::DeadlineMs, std::to_string(RequestDeadline.count()));
+    auto request
+        = makeRequest(idempotent ? http::verb::get : http::verb::post, exchange.target, exchange.id, RequestDeadline);
+    request.body() = exchange.body;
     request.prepare_payload();
     m_checker.recordSent(exchange.id, idempotent);
     exchange.sent = Clock::now();
@@ -183,21 +182,19 @@
         }
         return;
     }
+    if (impliesNotRun(response.result_int())) {
+        m_checker.recordNotRun(exchange.id);
+        if (response.result_int() == 503 && response.find(http::field::retry_after) == response.end()) {
+            m_checker.recordViolation("response 503 without Retry-After: " + exchange.id);
+        }
+        return;
+    }
     switch (response.result_int()) {
     case 200:
         m_checker.recordAnswer(exchange.id,
                                response.body() == makeResponseBody(exchange.id, exchange.target, exchange.body)
                                    && toStdString(response[names::ResponseSig]) == "sig-" + exchange.id);
         return;
-    case 408:
-    case 421:
-    case 429:
-    case 503:
-        m_checker.recordNotRun(exchange.id);
-        if (response.result_int() == 503 && response.find(http::field::retry_after) == response.end()) {
-            m_checker.recordViolation("response 503 without Retry-After: " + exchange.id);
-        }
-        return;
     case 500:
     case 502:
     case 504:
@@ -228,10 +225,7 @@
     auto [connectError]
         = co_await stream.async_connect(detail::toAsio<detail::tcp>(m_layout.callers(instance)), NoThrowAwaitable);
     const auto id = "q" + std::to_string(m_nextRequest++);
-    http::request<http::empty_body> request{http::verb::get, "/v" + std::to_string(version) + "/x", 11};
-    request.set(http::field::host, "soak.example");
-    request.set(names::RequestId, id);
-    request.set(names::DeadlineMs, std::to_string(RequestDeadline.count()));
+    const auto request = makeRequest(http::verb::get, "/v" + std::to_string(version) + "/x", id, RequestDeadline);
     m_checker.recordSent(id, true);
     boost::beast::flat_buffer buf;
     http::response<http::string_body> response;
--- a/tools/lspar-soak/latecallers.cpp
+++ b/tools/lspar-soak/latecallers.cpp
@@ -1,5 +1,6 @@
 #include "latecallers.h"
 
+#include "callerrequest.h"
 #include "platform/names.h"
 
 #include <array>
@@ -26,11 +27,6 @@
 /// Execution times, one of which is drawn for each request.
 constexpr std::array<int, 4> ExecutionTimesMs{30, 400, 1800, 4200};
 
-bool saysNotRun(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 } // namespace
 
 /// A process that has been asked to stop.
@@ -98,10 +94,8 @@
     const bool idempotent = m_random() % 4 == 0;
     const auto time = ExecutionTimesMs.at(m_random() % ExecutionTimesMs.size());
     const auto target = (idempotent ? "/safe/" : "/unsafe/") + it.id + "?work_ms=" + std::to_string(time);
-    http::request<http::string_body> request{http::verb::post, target, 11, "body of " + it.id};
-    request.set(http::field::host, "soak.example");
-    request.set(names::RequestId, it.id);
-    request.set(names::DeadlineMs, std::to_string(RequestDeadline.count()));
+    auto request = makeRequest(http::verb::post, target, it.id, RequestDeadline);
+    request.body() = "body of " + it.id;
     request.prepare_payload();
     m_checker.recordSent(it.id, idempotent);
     it.sent = Clock::now();
@@ -120,7 +114,7 @@
 {
     const auto now = Clock::now();
     const auto status = request.response.result_int();
-    if (!request.error && saysNotRun(status)) {
+    if (!request.error && impliesNotRun(status)) {
         m_checker.recordNotRun(request.id);
         if (request.response.find(http::field::retry_after) == request.response.end()) {
             m_checker.recordViolation("not-run answer without Retry-After: " + request.id);
