net: bound what requests without end cost on the product's own interface

What callers saw: nothing yet; requests that have not arrived completely were not limited together, so that 10,000 connections could hold 2 MB each, and a caller that sends chunk extensions without end was read until it stopped.

Cause: HttpServer limited each request only, and not what lies between its chunks.

Change: the server reads with readMessage(). All incomplete requests share 128 MiB; what does not fit is refused with 503 as not run (reason "shed") and the connection is closed.

Not covered: requests that have arrived completely and wait for an upstream; queue_limit alone bounds them.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Unparsed data of a request. Heads and chunk headers have to fit, which otherwise could grow without end.
-constexpr std::size_t MaxUnparsedBytes = 128 << 10;
 /// Time to send a response to a client that does not read.
 constexpr Milliseconds WriteTimeout{20'000};
 
@@ -23,8 +21,16 @@
 } // namespace
 
 struct HttpServer::State {
+    State(Limits serverLimits, Handler requestHandler)
+        : limits(serverLimits)
+        , handler(std::move(requestHandler))
+        , pendingRequests(limits.maxPendingBytes)
+    {
+    }
+
     Limits limits;
     Handler handler;
+    MessageMemory pendingRequests;
     std::atomic<bool> closing = false;
     std::atomic<std::size_t> inFlight = 0;
     std::atomic<std::size_t> connections = 0;
@@ -62,9 +68,9 @@
             parser.body_limit(m_state->limits.maxBodyBytes);
             parser.header_limit(m_state->limits.maxHeaderBytes);
             m_stream.expires_after(m_state->limits.idleTimeout);
-            auto [ec, n] = co_await http::async_read(m_stream, buf, parser, NoThrowAwaitable);
+            const auto ec = co_await readMessage(m_stream, buf, parser, &m_state->pendingRequests);
             if (ec) {
-                co_await respondBadRequest(ec);
+                co_await refuseBadInput(ec);
                 break;
             }
             m_stream.expires_never();
@@ -148,17 +154,25 @@
                                      });
     }
 
-    awaitable<void> respondBadRequest(error_code ec)
+    awaitable<void> refuseBadInput(error_code ec)
     {
-        if (ec.category() != error_code(http::error::bad_method).category() || ec == http::error::end_of_stream) {
-            co_return;
+        if (ec == asio::error::no_buffer_space) {
+            co_await refuse(http::status::service_unavailable, Reason::Shed, "no memory for the body");
+        } else if (ec.category() == error_code(http::error::bad_method).category()
+                   && ec != http::error::end_of_stream) {
+            co_await refuse(http::status::bad_request, Reason::BadRequest, ec.message());
         }
-        auto response = makeResponse(http::status::bad_request,
+    }
+
+    /// Answers a request that has not been read completely. The connection has to be closed after it.
+    awaitable<void> refuse(http::status status, Reason reason, std::string detail)
+    {
+        auto response = makeResponse(status,
                                      "application/json",
-                                     R"({"outcome":"not-run","reason":"bad-request","request":"","detail":")"
-                                         + ec.message() + "\"}\n");
+                                     R"({"outcome":"not-run","reason":")" + std::string(name(reason))
+                                         + R"(","request":"","detail":")" + detail + "\"}\n");
         response.keep_alive(false);
-        response.set("Lspar-Outcome", "not-run");
+        response.set("Lspar-Outcome", name(Outcome::NotRun));
         co_await http::async_write(m_stream, response, NoThrowAwaitable);
     }
 
@@ -170,11 +184,9 @@
 };
 
 HttpServer::HttpServer(asio::io_context &context, const Endpoint &endpoint, Limits limits, Handler handler)
-    : m_state(std::make_shared<State>())
+    : m_state(std::make_shared<State>(limits, std::move(handler)))
     , m_listener(context, endpoint, [this](tcp::socket socket) { serve(std::move(socket)); })
 {
-    m_state->limits = limits;
-    m_state->handler = std::move(handler);
 }
 
 void HttpServer::startClosing()
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "laburnumspar/messages.h"
 #include "net/listener.h"
+#include "net/messagereader.h"
 
 #include <set>
 
@@ -20,6 +21,7 @@
     struct Limits {
         std::uint64_t maxBodyBytes = MaxBodyBytes; ///< any request may be forwarded to a peer
         std::uint32_t maxHeaderBytes = 16 << 10;
+        std::size_t maxPendingBytes = 128 << 20; ///< of all requests that have not arrived completely
         std::size_t maxConnections = 10000;
         Milliseconds idleTimeout{120000};
     };
