upstream connections: end answers that consist of framing

Cause: the limits cover the body (64 MiB) and the memory, and one-byte chunks reach neither before the deadline. Each chunk costs a handler.

Change: an answer that has over 128 KiB of framing beyond half of its content is lost, like any other broken answer. That bounds the cost in bytes; the deadline of the request bounds it in time, as before.

Measured: before, endlessFramingIsCutOff failed: the exchange had not ended after 20 s, and the test program used 12.9 s of processor time. After: passes, 0.27 s for the whole program. answersInSmallChunksAreWhole shows that 20,000 chunks of one byte and 20,000 of 16 bytes arrive as before.

--- a/src/gateway/upstreamconnections.cpp
+++ b/src/gateway/upstreamconnections.cpp
@@ -1,5 +1,7 @@
 #include "gateway/upstreamconnections.h"
 
+#include "net/messagereader.h"
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -26,8 +28,6 @@
 constexpr std::size_t MaxRefusals = 16;
 constexpr std::uint64_t MaxAnswerBytes = 64 << 20;
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 << 10;
-/// Unparsed data of an answer. Heads and chunk headers have to fit, which otherwise could grow without end.
-constexpr std::size_t MaxUnparsedBytes = 128 << 10;
 /// Interim answers and answers to earlier requests that are skipped before the answer to a request.
 constexpr unsigned MaxSkippedAnswers = 16;
 
@@ -239,6 +239,8 @@
         if (!m_parser->is_done()) {
             if (m_state->pendingBytes > m_state->maxPendingBytes) {
                 fail(ExchangeOutcome::Lost, "answers exceed the memory limit");
+            } else if (hasExcessiveFraming(m_pendingBytes, m_parser->get().body().size())) {
+                fail(ExchangeOutcome::Lost, "answer of framing without content");
             } else {
                 readSome();
             }
--- a/tests/test_upstreamconnections.cpp
+++ b/tests/test_upstreamconnections.cpp
@@ -25,6 +25,10 @@
 }
 
 struct Fixture {
+    explicit Fixture(std::size_t maxPendingBytes = MaxPendingBytes)
+        : connections(context, headers, maxPendingBytes)
+    {
+    }
     ~Fixture()
     {
         upstream.close();
@@ -94,7 +98,15 @@
 
     asio::io_context context{1};
     RawUpstream upstream{context, upstreamAddress, "X-Id"};
-    UpstreamConnections connections{context, headers, MaxPendingBytes};
+    UpstreamConnections connections;
+};
+
+/// So much memory that it does not limit the bytes without content that an answer may have.
+struct LargeMemoryFixture : Fixture {
+    LargeMemoryFixture()
+        : Fixture(std::size_t(1) << 30)
+    {
+    }
 };
 
 } // namespace
@@ -254,6 +266,34 @@
     checkEndless(head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Trailer: ", block);
 }
 
+// Guards against processor time that is spent until the deadline on answers that make no progress.
+BOOST_FIXTURE_TEST_CASE(endlessFramingIsCutOff, LargeMemoryFixture)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Own: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    checkEndless(chunked, "1\r\na\r\n");
+    checkEndless(chunked, "1;" + std::string(64, 'a') + "\r\na\r\n");
+    checkEndless(chunked + "1\r\na\r\n0\r\n", "X-Trailer: 1\r\n");
+}
+
+// Guards against losing answers that are sent in small parts.
+BOOST_FIXTURE_TEST_CASE(answersInSmallChunksAreWhole, LargeMemoryFixture)
+{
+    upstream.script = [](RawUpstream &self, tcp::socket &socket, std::string) -> awaitable<void> {
+        std::string text = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Own: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (unsigned n = 0; n < 20'000; ++n) {
+            text += "1\r\na\r\n";
+        }
+        for (unsigned n = 0; n < 20'000; ++n) {
+            text += "10\r\n0123456789abcdef\r\n";
+        }
+        text += "0\r\n\r\n";
+        co_await self.send(socket, text);
+    };
+    const auto result = exchange("r1");
+    BOOST_TEST((result.outcome == ExchangeOutcome::Answered));
+    BOOST_TEST(result.message.body().size() == 340'000U);
+}
+
 // Guards against a limit for each answer that many answers exceed together.
 BOOST_FIXTURE_TEST_CASE(memoryLimitCoversAllAnswers, Fixture)
 {
