store and peers: end replies that consist of framing

What was seen: a reply of the store or of a peer in chunks of one byte, or with chunk extensions, was read until the time-out, with processor time for each chunk. Memory was bounded already (16 MiB, 128 KiB unparsed); the test now shows it for ten kinds of endless replies.

Change: HttpChannel reads with readMessage(), which fails such a reply after 128 KiB of framing.

Measured: before, endlessRepliesAreCutOff failed for one-byte chunks and chunk extensions (both ended by the time-out); it passes.

--- a/src/gateway/httpchannel.cpp
+++ b/src/gateway/httpchannel.cpp
@@ -1,5 +1,7 @@
 #include "gateway/httpchannel.h"
 
+#include "net/messagereader.h"
+
 #include <sys/socket.h>
 
 namespace laburnumspar::detail {
@@ -7,8 +9,6 @@
 namespace {
 
 constexpr std::uint64_t MaxReplyBytes = 16 << 20;
-/// Unparsed data of a reply. Heads and chunk headers have to fit.
-constexpr std::size_t MaxUnparsedBytes = 128 << 10;
 
 } // namespace
 
@@ -66,7 +66,7 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxReplyBytes);
-    auto [readError, n] = co_await http::async_read(*m_stream, m_buf, parser, NoThrowAwaitable);
+    const auto readError = co_await readMessage(*m_stream, m_buf, parser, nullptr);
     if (readError) {
         co_return ChannelReply{0, {}, readError.message(), {}};
     }
--- a/tests/test_httpchannel.cpp
+++ b/tests/test_httpchannel.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 const Endpoint serverAddress{loopbackAddress(0), 27941};
+/// What a server may have sent before two connections are closed: the limits of this side, and the socket buffers of
+/// both sides.
+constexpr std::size_t MaxSentWithoutEnd = 64 << 20;
 
 struct Fixture {
     ~Fixture()
@@ -66,3 +69,41 @@
     BOOST_TEST(reply.body == "1234");
     BOOST_TEST(reply.headers["Store-Era"] == "2");
 }
+
+// Guards against memory that fills with a reply of the store or of another instance that has no end, and processor time
+// that is spent on it until the time-out.
+BOOST_FIXTURE_TEST_CASE(endlessRepliesAreCutOff, Fixture)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string block(8192, 'a');
+    const std::vector<std::pair<std::string, std::string>> replies{
+        {"", block},
+        {"HTTP/1.1 200 OK\r\nX-Long: ", block},
+        {"HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\n\r\n", block},
+        {chunked, "2000\r\n" + block + "\r\n"},
+        {chunked, "1\r\na\r\n"},
+        {chunked + "5;", block},
+        {chunked, "1;" + std::string(64, 'a') + "\r\na\r\n"},
+        {chunked + "1\r\na\r\n0\r\nX-Trailer: ", block},
+    };
+    for (const auto &[prefix, repeated] : replies) {
+        BOOST_TEST_CONTEXT(prefix << repeated.substr(0, 32))
+        {
+            server.script = [prefix = prefix, repeated = repeated](
+                                RawUpstream &self, tcp::socket &socket, std::string) -> awaitable<void> {
+                co_await self.send(socket, prefix);
+                co_await self.sendWithoutEnd(socket, repeated);
+            };
+            server.sent = 0;
+            const auto reply = get();
+            BOOST_TEST(reply.status != 200U);
+            BOOST_TEST(reply.failure != error_code(beast::error::timeout).message());
+            get(); // a channel with unread bytes is closed at the next request
+            context.restart();
+            context.run_for(100ms);
+            BOOST_TEST(server.sent < MaxSentWithoutEnd);
+        }
+    }
+}
