Refuse requests whose Transfer-Encoding leaves their end unknown

Cause: Beast takes any Transfer-Encoding that does not end with chunked for no body at all, and neither caller interface looked at it.

Change: framingError() decides for both interfaces. Only a single "chunked", over HTTP/1.1 and without a Content-Length, is taken; other codings before a last chunked get 501, everything else 400, and the connection is closed (RFC 9112, section 6.3). The own interface answers "not-run", "bad-request".

--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -1,6 +1,7 @@
 #include "gateway/callersession.h"
 
 #include "laburnumspar/log.h"
+#include "net/requestframing.h"
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -273,6 +274,10 @@
         refuseBadInput(ec);
         return;
     }
+    if (const auto status = framingError(m_parser->get())) {
+        refuse(*status, "unsupported transfer encoding");
+        return;
+    }
     if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         asio::async_write(
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "laburnumspar/errors.h"
 #include "laburnumspar/log.h"
+#include "net/requestframing.h"
 
 #include <sys/socket.h>
 
@@ -73,6 +74,10 @@
                 co_await refuseBadInput(ec);
                 break;
             }
+            if (const auto status = framingError(parser.get())) {
+                co_await refuse(*status, Reason::BadRequest, "unsupported transfer encoding");
+                break;
+            }
             m_stream.expires_never();
             if (!co_await serve(parser.release())) {
                 break;
