instance: refuse requests that may outlast the drain limit of a stop

What callers saw: during a planned stop with limits.drain_limit_ms, requests that came late were taken and passed on, and cut at the limit. An answer that was not written 200 ms after the limit was lost with the process.

Cause: a leaving instance compared no deadline with the end of its stop.

Change: a request whose deadline lies beyond the drain limit (less 100 ms to send its answer) is refused as not run, "leaving". For requests that may run once, the refusal comes after the claim of their identifier, so that a repeated delivery still gets its stored answer; where another instance owns the identifier, that owner decides, with no time left to start the request. Dispatchers refuse requests of peers in the same way, and the peer tries another one. What still runs at the limit is aborted, and the process waits up to 2 s, instead of 200 ms, until the callers have their final answers.

Ruled out: without a limit the instance waits until no request is in flight, so nothing is cut.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -52,6 +52,7 @@
 format = "keyvalue"
 [limits]
 workers = ${FLEET_WORKERS:-1}
+drain_limit_ms = ${FLEET_DRAIN_LIMIT_MS:-0}
 END
 }
 
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -6,6 +6,7 @@
 #include "laburnumspar/version.h"
 #include "net/adminapi.h"
 #include "net/callerapi.h"
+#include "net/drainlimit.h"
 #include "net/gossip.h"
 #include "net/platformreader.h"
 #include "net/settingssync.h"
@@ -37,6 +38,8 @@
 constexpr Milliseconds MinDiscoveryTime{700};
 // Callers keep an address for 5 s (AddressLifetime) and may use it slightly longer.
 constexpr Milliseconds MinLeavingTime{6000};
+// Longest time for the answers to the requests that are aborted at the end of a forced stop.
+constexpr Milliseconds MaxAbortTime{2000};
 
 std::uint64_t wallClockMs()
 {
@@ -117,6 +120,7 @@
     std::atomic<RunState> m_state = RunState::Starting;
     std::atomic<int> m_stopRequests = 0;
     std::atomic<bool> m_isSettingsReader = false;
+    DrainLimit m_drainLimit;
     std::atomic<std::size_t> m_aborted = 0;
     // Accessed by the refresh loop only: inputs of the last assignment and revision of the last published settings.
     std::optional<AssignmentInputs> m_assignmentInputs;
@@ -166,8 +170,15 @@
               m_settingsSync.applyPeerValues(from, values);
           },
           [this] { return m_settingsSync.ownVersions(); })
-    , m_router(
-          {settings.peers, settings.zone, m_incarnation, m_seed, m_claims, m_services, m_peerConnections, m_metrics})
+    , m_router({settings.peers,
+                settings.zone,
+                m_incarnation,
+                m_seed,
+                m_claims,
+                m_services,
+                m_peerConnections,
+                m_metrics,
+                [this](TimePoint deadline) { return m_drainLimit.mayOutlast(deadline); }})
     , m_callerApi({settings.peers,
                    settings.callers,
                    settings.zone,
@@ -412,6 +423,7 @@
         co_await sleepFor(CheckInterval);
     }
     const auto startedAt = Clock::now();
+    m_drainLimit.start(startedAt, settings.drainTimeout);
     m_state = RunState::Leaving;
     m_membership.with([](Membership &membership) { membership.leave(); });
     m_callerServer.startClosing();
@@ -419,15 +431,16 @@
     bool forced = false;
     while (!forced && (Clock::now() - startedAt < MinLeavingTime || requestsInFlight() > 0)) {
         co_await sleepFor(CheckInterval);
-        const bool drainTimeoutExceeded
-            = settings.drainTimeout.count() > 0 && Clock::now() - startedAt > settings.drainTimeout;
-        forced = m_stopRequests > 1 || drainTimeoutExceeded;
+        forced = m_stopRequests > 1 || m_drainLimit.isOver(Clock::now());
     }
     m_callerServer.close();
     if (forced) {
         m_aborted = m_callerServer.abort() + m_peerServer.requestsInFlight();
         logEvent(LogLevel::Warning, "instance.forced-stop", {{"aborted", m_aborted.load()}});
-        co_await sleepFor(std::chrono::milliseconds(200)); // time to send the "may have run" responses
+        const auto abortedAt = Clock::now();
+        while (m_callerServer.requestsInFlight() > 0 && Clock::now() - abortedAt < MaxAbortTime) {
+            co_await sleepFor(CheckInterval);
+        }
     }
     while (!forced && m_callerServer.connections() > 0 && Clock::now() - startedAt < MinLeavingTime * 2) {
         co_await sleepFor(CheckInterval);
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -40,6 +40,11 @@
     return XXH64(call.body.data(), call.body.size(), XXH64(head.data(), head.size(), 0));
 }
 
+CallResult leavingResult()
+{
+    return failedResult(Outcome::NotRun, Reason::Leaving, "the instance stops before the deadline of the request");
+}
+
 CallResult toResult(ForwardReply reply)
 {
     return {reply.outcome,
@@ -132,6 +137,8 @@
         } else {
             result = failedResult(Outcome::MayHaveRun, Reason::IdentifierInvalid, "not the owner of the identifier");
         }
+    } else if (m_context.mayOutlastInstance(call.deadline)) {
+        result = leavingResult();
     } else {
         result = co_await dispatchAt(m_context.self, call, std::move(cancellation));
     }
@@ -169,13 +176,22 @@
     m_forwarded.add();
     const auto deadline = call.deadline;
     auto request = toForwardRequest(call, HopKind::ToOwner, Clock::now());
+    const bool late = m_context.mayOutlastInstance(deadline);
+    if (late) {
+        // Only the owner knows whether an earlier delivery has run. Without time left, it does not start the request.
+        request.deadlineMs = 0;
+    }
     auto reply = co_await m_context.peers.forward(id.owner, std::move(request), deadline + ReplyGrace, cancellation);
     if (reply.reason == Reason::ConnectionLost) {
         // This message may not have arrived, but an earlier delivery with the same identifier may have been run.
         m_ownerGone.add();
         co_return failedResult(Outcome::MayHaveRun, Reason::OwnerGone, "the owner of the identifier cannot be reached");
     }
-    co_return toResult(std::move(reply));
+    auto result = toResult(std::move(reply));
+    if (late && result.outcome == Outcome::NotRun) {
+        result = leavingResult();
+    }
+    co_return result;
 }
 
 CallResult Router::claimRefusal(const ClaimResult &claim)
@@ -225,6 +241,9 @@
 
 awaitable<CallResult> Router::dispatch(const CallRequest &call, CancellationPtr cancellation)
 {
+    if (m_context.mayOutlastInstance(call.deadline)) {
+        co_return leavingResult();
+    }
     std::vector<InstanceId> tried;
     auto result = failedResult(Outcome::NotRun, Reason::NoUpstream, "no dispatcher can be reached");
     bool mayHaveRun = false;
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -22,6 +22,8 @@
         ServiceTable &services;
         PeerConnections &peers;
         MetricsRegistry &metrics;
+        /// Whether a request with this deadline may outlast the instance, which is leaving.
+        std::function<bool(TimePoint deadline)> mayOutlastInstance;
     };
 
     explicit Router(Context context);
