peers: take memory for a frame only as its bytes arrive

Cause: FrameStream sized its buffer by the announced length.

Change: the buffer grows by at most 64 KiB ahead of the bytes. The length itself was limited to 2 MB before.

--- a/src/net/framestream.cpp
+++ b/src/net/framestream.cpp
@@ -2,8 +2,17 @@
 
 #include "laburnumspar/log.h"
 
+#include <algorithm>
+
 namespace laburnumspar::detail {
 
+namespace {
+
+/// Memory that a frame takes before its bytes arrive.
+constexpr std::size_t MaxReadBytes = 64 << 10;
+
+} // namespace
+
 FrameStream::FrameStream(tcp::socket socket)
     : m_socket(std::move(socket))
 {
@@ -56,11 +65,14 @@
     std::string decodeError;
     try {
         const auto length = frameLength(buf);
-        buf.resize(length);
-        auto body = asio::buffer(buf) + FrameHeaderBytes;
-        auto [bodyError, bodyRead] = co_await asio::async_read(m_socket, body, NoThrowAwaitable);
-        if (bodyError) {
-            co_return std::nullopt;
+        while (buf.size() < length) {
+            const auto received = buf.size();
+            buf.resize(std::min(length, received + MaxReadBytes));
+            auto [bodyError, bodyRead]
+                = co_await asio::async_read(m_socket, asio::buffer(buf) + received, NoThrowAwaitable);
+            if (bodyError) {
+                co_return std::nullopt;
+            }
         }
         co_return decode(buf);
     } catch (const DecodeError &e) {
