tests: memory of 60 endless answers at once on the product's own interface

Guards against a process that runs out of memory because many upstreams send bytes without end at the same time: the growth has to stay below the limit of pending answers and 512 KiB for each connection (34 MiB here).

It passes with readMessage().

--- a/tests/test_framestream.cpp
+++ b/tests/test_framestream.cpp
@@ -2,12 +2,11 @@
 
 #include "loopback.h"
 #include "net/listener.h"
+#include "residentmemory.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <unistd.h>
-
-#include <fstream>
+#include <list>
 
 using namespace laburnumspar;
 using namespace laburnumspar::detail;
@@ -17,15 +16,6 @@
 
 const Endpoint peerAddress{loopbackAddress(0), 27981};
 
-std::size_t residentBytes()
-{
-    std::ifstream statm("/proc/self/statm");
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    statm >> total >> resident;
-    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
-}
-
 std::vector<std::uint8_t> largeFrame()
 {
     ForwardRequest request;
--- a/tests/test_upstreamclient.cpp
+++ b/tests/test_upstreamclient.cpp
@@ -3,6 +3,7 @@
 #include "laburnumspar/plugin.h"
 #include "loopback.h"
 #include "rawupstream.h"
+#include "residentmemory.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -197,6 +198,43 @@
     }
 }
 
+// Guards against a process that runs out of memory because many upstreams send bytes without end at the same time.
+BOOST_FIXTURE_TEST_CASE(manyEndlessAnswersTakeLimitedMemory, Fixture)
+{
+    constexpr std::size_t Requests = 60;
+    constexpr std::size_t MaxBytesPerConnection = 512 << 10; // read buffer, and its copy while it grows
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string block(8192, 'a');
+    const std::vector<std::pair<std::string, std::string>> answers{
+        {"HTTP/1.1 200 OK\r\nX-Long: ", block},
+        {"HTTP/1.1 200 OK\r\n\r\n", block},
+        {chunked + "5;", block},
+        {chunked + "1\r\na\r\n0\r\nX-Trailer: ", block},
+    };
+    for (const auto &[prefix, repeated] : answers) {
+        upstream.script = [prefix = prefix, repeated = repeated](
+                              RawUpstream &self, tcp::socket &socket, std::string) -> awaitable<void> {
+            co_await self.send(socket, prefix);
+            co_await self.sendWithoutEnd(socket, repeated);
+        };
+        const auto before = residentBytes();
+        auto peak = before;
+        std::vector<std::optional<AttemptResult>> results(Requests);
+        for (std::size_t n = 0; n < Requests; ++n) {
+            start("r" + std::to_string(n), results[n]);
+        }
+        const auto isDone = [&] { return std::all_of(results.begin(), results.end(), [](auto &it) { return it; }); };
+        const auto limit = Clock::now() + 10s;
+        while (!isDone() && Clock::now() < limit) {
+            context.restart();
+            context.run_for(2ms);
+            peak = std::max(peak, residentBytes());
+        }
+        BOOST_TEST(isDone());
+        BOOST_TEST(peak - before < MaxPendingBytes + Requests * MaxBytesPerConnection);
+    }
+}
+
 // Guards against a limit for each answer that the answers of many upstreams exceed together.
 BOOST_FIXTURE_TEST_CASE(memoryLimitCoversAllAnswers, Fixture)
 {
