--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -262,6 +262,10 @@
         onNotRun(attempt, AttemptOutcome::Unreachable, now);
     } else if (result.outcome == ExchangeOutcome::Lost) {
         finishAttempt(AttemptOutcome::Failure, result.failure);
+        report(
+            LostAttempt{
+                m_request.id, attempt.upstream.id, m_request.method, m_request.host, m_request.target, result.failure},
+            m_forwarder.m_metrics);
         onFailed(now);
     } else if ((message.find(names.notRun) != message.end() || status == 421)
                && (result.identified || result.firstOnConnection)) {
--- a/src/gateway/requestreport.cpp
+++ b/src/gateway/requestreport.cpp
@@ -51,6 +51,19 @@
         .record(seconds(attempt.took));
 }
 
+void report(const LostAttempt &attempt, MetricsRegistry &metrics)
+{
+    logEvent(LogLevel::Info,
+             "attempt.lost",
+             {{"request", attempt.requestId},
+              {"upstream", attempt.upstream},
+              {"method", attempt.method},
+              {"host", attempt.host},
+              {"target", attempt.target},
+              {"failure", attempt.failure}});
+    metrics.counter("lspar_attempts_lost_total").add();
+}
+
 void report(const RequestReport &request, MetricsRegistry &metrics)
 {
     logEvent(LogLevel::Info,
--- a/src/gateway/requestreport.h
+++ b/src/gateway/requestreport.h
@@ -30,6 +30,16 @@
     Clock::duration took{};
 };
 
+/// An attempt whose connection the upstream closed before its answer was complete.
+struct LostAttempt {
+    std::string_view requestId;
+    std::string_view upstream;
+    std::string_view method;
+    std::string_view host;
+    std::string_view target;
+    std::string_view failure;
+};
+
 /// A finished request.
 struct RequestReport {
     std::string_view requestId;
@@ -47,6 +57,7 @@
 /// Each overload writes a log line and updates the counters and histograms of the event.
 void report(const UnroutedRequest &request, MetricsRegistry &metrics);
 void report(const AttemptReport &attempt, MetricsRegistry &metrics);
+void report(const LostAttempt &attempt, MetricsRegistry &metrics);
 void report(const RequestReport &request, MetricsRegistry &metrics);
 /// Logs what an upstream newly asks for.
 void report(const std::string &upstream, const UpstreamNotice &notice);
