gateway: a request under which two upstreams have ended is refused until a trial

Cause: whatever a request had done to upstreams was forgotten with it. It was repeated at the next upstream up to the attempts of its route, and each further caller of the same target, at any instance, began afresh. Class of fault: a failure that belongs to the request is counted against the upstreams only.

Ruled out: repeats beyond the shared retry budget. Attempts alone are not the cause either: with one attempt, each caller still ends one upstream.

Change: a request is identified by service, method, host, target and body. Each connection that an upstream closes before any byte of the answer counts as a crash under the requests that ran there. After crashes of two processes without an answer to the same request since, it is neither sent nor repeated: later ones are refused as not run, with Retry-After until the next trial, 30 s after the last crash, one at a time. A crash is refuted when the same process answers a request that was sent later, so connections that live upstreams close do not count for long. Instances tell one another at once, and blocked requests once a second, so that restarted instances know them. A suspect is not hedged. Requests that merely ran beside a deadly one are repeated as before; non-idempotent ones still run at most once. At most 256 requests are remembered for 60 s. The datagrams have a new format (LBG5).

--- a/fuzz/fuzz_groupmessages.cpp
+++ b/fuzz/fuzz_groupmessages.cpp
@@ -16,6 +16,7 @@
     heartbeat.sender = {"10.1.0.7", "palermo", 42, InstanceRole::Active, 200, 17, {2, 99}, 1200, 300, 5};
     heartbeat.knownInstances.push_back({{"10.2.0.1", "catania", 41, InstanceRole::Spare, 500}, Milliseconds(700)});
     heartbeat.observations.push_back({"orders", {"i-1", 3, 1}});
+    heartbeat.suspects.push_back({5, Milliseconds(40), {{6, Milliseconds(30), true}}});
     return heartbeat;
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/crashsuspects.h"
 #include "gateway/httptext.h"
 #include "gateway/serviceregistry.h"
 #include "gateway/upstreamconnections.h"
@@ -47,6 +48,11 @@
     {
         return m_connections;
     }
+    /// Requests under which upstreams have crashed.
+    CrashSuspects &crashSuspects()
+    {
+        return m_crashSuspects;
+    }
     /// Requests that have not been finished, including queued ones.
     std::size_t inFlight() const
     {
@@ -68,6 +74,7 @@
     const ForwardingHeaders &m_headers;
     MetricsRegistry &m_metrics;
     UpstreamConnections m_connections;
+    CrashSuspects m_crashSuspects;
     std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> m_queued; ///< by ticket of the queue entry
     RequestQueue::Ticket m_nextTicket = 1;
     std::shared_ptr<std::set<Forwarding *>> m_active; ///< shared with the requests, which may outlive the forwarder
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -1,10 +1,10 @@
 #include "gateway/forwarding.h"
 
 #include "gateway/requestreport.h"
+#include "gateway/upstreamtext.h"
 #include "laburnumspar/log.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace laburnumspar::detail {
 
@@ -30,6 +30,7 @@
 constexpr Milliseconds AnswerMargin{20};
 constexpr Milliseconds MinRetryAfter{100};
 constexpr Milliseconds MaxRetryAfter{2000};
+constexpr std::string_view CrashesUpstreams = "upstreams have crashed under this request";
 /// While the instance stops, it takes only requests that will probably be answered before it ends: this share of the
 /// route's requests takes no longer than the time that is left.
 constexpr double StopQuantile = 0.95;
@@ -37,43 +38,6 @@
 /// An attempt that is cancelled before this quantile of the route's latencies does not count against its upstream.
 constexpr double TimeoutQuantile = 0.9;
 
-std::optional<ReportedLoad> parseLoad(beast::string_view value)
-{
-    ReportedLoad load;
-    const char *at = value.data();
-    const char *end = at + value.size();
-    for (unsigned *number : {&load.running, &load.waiting, &load.slots}) {
-        const auto [next, ec] = std::from_chars(at, end, *number);
-        if (ec != std::errc()) {
-            return std::nullopt;
-        }
-        at = next < end && *next == ',' ? next + 1 : next;
-    }
-    return load;
-}
-
-std::string_view text(beast::string_view value)
-{
-    return {value.data(), value.size()};
-}
-
-UpstreamNotice parseNotice(const UpstreamMessage &message, const ForwardingHeaders &names)
-{
-    UpstreamNotice notice;
-    notice.leaving = message[names.leaving] == "1";
-    notice.requestRate = parseRequestRate(text(message[names.requestRate]));
-    if (message.result() == http::status::service_unavailable) {
-        notice.pause = parsePause(text(message[http::field::retry_after]));
-    }
-    return notice;
-}
-
-/// Whether the status tells the caller that its request has not run.
-bool impliesNotRun(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 } // namespace
 
 Forwarding::Forwarding(Forwarder &forwarder,
@@ -94,6 +58,7 @@
     , m_deadline(route.timeout.count() > 0
                      ? std::min(m_request.deadline - AnswerMargin, m_request.arrived + route.timeout)
                      : m_request.deadline - AnswerMargin)
+    , m_digest(requestDigest(service, m_request.method, m_request.host, m_request.target, m_request.body))
     , m_active(forwarder.m_active)
 {
     m_active->insert(this);
@@ -138,6 +103,10 @@
 
 bool Forwarding::tryStart(TimePoint now)
 {
+    if (const auto until = m_forwarder.m_crashSuspects.blockedUntil(m_digest, now)) {
+        refuseUntil(*until, CrashesUpstreams, now);
+        return true;
+    }
     const auto choice = m_service.pool.startAttempt(
         {&m_latency, isFinalAttempt(), m_service.budget.remaining(now) >= MinRetriesForTrials, m_triedUpstreams}, now);
     if (!choice) {
@@ -145,6 +114,7 @@
     }
     dequeue();
     m_service.queue.recordStart(now);
+    m_forwarder.m_crashSuspects.recordStart(m_digest, now);
     startAttempt(*choice, now);
     return true;
 }
@@ -262,6 +232,7 @@
         m_service.pool.finishAttempt(id, outcome, load, now);
         reportAttempt(attempt, outcome, status, detail, now);
     };
+    recordHealth(attempt, result, now);
     // An answer with status 421 comes from another upstream at the same address.
     if (result.outcome == ExchangeOutcome::Answered && status != 421) {
         const auto notice = parseNotice(message, names);
@@ -307,6 +278,24 @@
     m_forwarder.dispatchQueued(m_service);
 }
 
+void Forwarding::recordHealth(const Attempt &attempt, const ExchangeResult &result, TimePoint now)
+{
+    auto &suspects = m_forwarder.m_crashSuspects;
+    const auto process = processDigest(attempt.upstream);
+    if (result.closedByUpstream) {
+        suspects.recordCrash(m_digest, process, now);
+        return;
+    }
+    const auto status = result.message.result_int();
+    if (result.outcome != ExchangeOutcome::Answered || !result.identified || status == 421) {
+        return;
+    }
+    suspects.recordAlive(process, attempt.started, now);
+    if (result.message.find(m_forwarder.m_headers.notRun) == result.message.end()) {
+        suspects.recordAnswer(m_digest, now);
+    }
+}
+
 void Forwarding::onNotRun(const Attempt &attempt, AttemptOutcome outcome, TimePoint now)
 {
     --m_runs;
@@ -347,7 +336,8 @@
 
 bool Forwarding::startRetry(double minRetries, TimePoint now)
 {
-    if (!m_route.idempotent || m_runs >= m_route.attempts || timeLeft(now) <= MinRetryAfter) {
+    if (!m_route.idempotent || m_runs >= m_route.attempts || timeLeft(now) <= MinRetryAfter
+        || m_forwarder.m_crashSuspects.blockedUntil(m_digest, now)) {
         return false;
     }
     // A retry is taken from the budget only if an upstream takes it: a hedge that finds none is tried again soon.
@@ -376,7 +366,12 @@
 void Forwarding::onHedgeTimer()
 {
     const auto now = Clock::now();
-    if (m_attempts.empty() || startRetry(MinRetriesForHedges, now) || m_runs >= m_route.attempts) {
+    if (m_attempts.empty() || m_runs >= m_route.attempts) {
+        return;
+    }
+    // A request that may crash upstreams runs on one of them at a time.
+    const bool suspect = m_forwarder.m_crashSuspects.crashes(m_digest, now) > 0;
+    if (!suspect && startRetry(MinRetriesForHedges, now)) {
         return;
     }
     m_hedgeTimer.expires_at(now + HedgeRetryInterval);
@@ -410,7 +405,12 @@
 {
     const auto usableFrom = m_service.pool.usableFrom(now).value_or(now);
     const auto pause = std::chrono::ceil<Milliseconds>(usableFrom - now);
-    const auto retryAfter = std::max(pause, std::clamp(expectedWait(now), MinRetryAfter, MaxRetryAfter));
+    refuseUntil(now + std::max(pause, std::clamp(expectedWait(now), MinRetryAfter, MaxRetryAfter)), detail, now);
+}
+
+void Forwarding::refuseUntil(TimePoint until, std::string_view detail, TimePoint now)
+{
+    const auto retryAfter = std::chrono::ceil<Milliseconds>(until - now);
     answer(makeLocalAnswer(http::status::service_unavailable, detail, m_request.id, m_forwarder.m_headers, retryAfter),
            Outcome::NotRun,
            detail,
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -33,7 +33,8 @@
     void onCallerClosed();
     /// Gives the request its final answer, because the instance stops.
     void end(TimePoint now);
-    /// Starts an attempt if an upstream has a free slot. Returns true if it has been started.
+    /// Starts an attempt if an upstream has a free slot, or refuses the request if upstreams have crashed under it.
+    /// Returns false if the request has to wait.
     bool tryStart(TimePoint now);
     /// Refuses the request if it is queued and can no longer be answered before its deadline.
     void refuseIfLate(TimePoint now);
@@ -57,6 +58,8 @@
     void dequeue();
     bool refuseWithoutUpstream(TimePoint now);
     void onResult(UpstreamPool::AttemptId id, ExchangeResult result);
+    /// Records whether the upstream has crashed under the request or is alive.
+    void recordHealth(const Attempt &attempt, const ExchangeResult &result, TimePoint now);
     void onNotRun(const Attempt &attempt, AttemptOutcome outcome, TimePoint now);
     void onFailed(TimePoint now);
     void armHedgeTimer(double faultProbability, TimePoint now);
@@ -66,6 +69,8 @@
     bool startRetry(double minRetries, TimePoint now);
     void onDeadline();
     void refuse(std::string_view detail, TimePoint now);
+    /// Refuses the request as not run. The caller may come back at `until`.
+    void refuseUntil(TimePoint until, std::string_view detail, TimePoint now);
     void giveUp(http::status status, std::string_view detail, TimePoint now);
     void answer(CallerAnswer answer, Outcome outcome, std::string_view detail, TimePoint now);
     void endAttempts(TimePoint now);
@@ -89,6 +94,7 @@
     std::optional<TimePoint> m_firstAttemptAt;
     unsigned m_runs = 0; ///< number of attempts that may have run
     bool m_callerClosed = false;
+    RequestDigest m_digest;
     std::shared_ptr<std::set<Forwarding *>> m_active; ///< contains this object
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,6 +164,8 @@
             serviceRegistry.service(it.service).pool.addRemoteObservation(it.counts, Clock::now());
         };
         hooks.takeObservations = [this] { return takeObservations(); };
+        hooks.suspectReceived = [this](const SuspectReport &it) { forwarder.crashSuspects().merge(it, Clock::now()); };
+        hooks.takeSuspects = [this] { return forwarder.crashSuspects().takeReports(Clock::now()); };
         hooks.roleChanged = [this](InstanceRole before, InstanceRole after) {
             const auto now = Clock::now();
             logEvent(LogLevel::Info,
--- a/src/gateway/grouplink.cpp
+++ b/src/gateway/grouplink.cpp
@@ -75,6 +75,9 @@
         for (const auto &it : heartbeat.observations) {
             m_hooks.observationReceived(it);
         }
+        for (const auto &it : heartbeat.suspects) {
+            m_hooks.suspectReceived(it);
+        }
         if (heartbeat.replyRequested) {
             send(encodeHeartbeat(makeHeartbeat(now, false), m_settings.zones), heartbeat.sender.ip);
         }
@@ -176,6 +179,27 @@
     }
 }
 
+/// Sends the requests under which upstreams crash to the instances that get most of the requests, and to those of the
+/// own zone, which may take over from them.
+void GroupLink::sendSuspects(TimePoint now)
+{
+    const auto suspects = m_hooks.takeSuspects();
+    for (std::size_t from = 0; from < suspects.size(); from += MaxSuspectReports) {
+        GroupHeartbeat heartbeat;
+        m_hooks.fillStatus(m_group.self());
+        heartbeat.sender = m_group.self();
+        const auto to = std::min(from + MaxSuspectReports, suspects.size());
+        heartbeat.suspects.assign(suspects.begin() + long(from), suspects.begin() + long(to));
+        const auto bytes = encodeHeartbeat(heartbeat, m_settings.zones);
+        for (const auto &it : m_group.members(now)) {
+            const bool receives = it.zone == m_settings.zone || it.role == InstanceRole::Active;
+            if (receives && it.ip != m_settings.ip) {
+                send(bytes, it.ip);
+            }
+        }
+    }
+}
+
 void GroupLink::requestStatus(TimePoint now)
 {
     m_lastStatusRequest = now;
@@ -224,6 +248,8 @@
         m_lastObservationsSent = now;
         sendObservations(now);
     }
+    // Callers repeat a request soon, so the others have to know at once.
+    sendSuspects(now);
     const auto interval = m_group.activeInstances(m_settings.zone, now).empty() ? DiscoveryInterval
         : role == InstanceRole::Active                                          ? SeedInterval
                                                                                 : StatusRequestInterval;
--- a/src/gateway/grouplink.h
+++ b/src/gateway/grouplink.h
@@ -22,6 +22,9 @@
         std::function<void(const UpstreamObservation &)> observationReceived;
         /// Returns the observations of this instance since the last call.
         std::function<std::vector<UpstreamObservation>()> takeObservations;
+        std::function<void(const SuspectReport &)> suspectReceived;
+        /// Returns what has been learned about requests under which upstreams crash and is due for the others.
+        std::function<std::vector<SuspectReport>()> takeSuspects;
         std::function<void(InstanceRole before, InstanceRole after)> roleChanged;
     };
 
@@ -42,6 +45,7 @@
     GroupHeartbeat makeHeartbeat(TimePoint now, bool replyRequested);
     void sendHeartbeats(TimePoint now);
     void sendObservations(TimePoint now);
+    void sendSuspects(TimePoint now);
     void sendObservationsTo(const std::vector<std::string> &addresses,
                             const std::vector<UpstreamObservation> &observations);
     void requestStatus(TimePoint now);
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t HeartbeatMagic = 0x4c424734; // "LBG4"
+constexpr std::uint32_t HeartbeatMagic = 0x4c424735; // "LBG5"
 constexpr std::uint32_t ChangesMagic = 0x4c424d32; // "LBM2"
 constexpr std::size_t MaxIdLength = 255;
 constexpr unsigned MaxCount = 255;
@@ -68,6 +68,37 @@
     return std::uint16_t(std::clamp<std::int64_t>(age.count(), 0, 0xffff));
 }
 
+/// Encoded age of an answer that has not been seen.
+constexpr std::uint16_t NoAnswer = 0xffff;
+
+void saveSuspect(OutputArchive &ar, const SuspectReport &suspect)
+{
+    ar(suspect.request,
+       suspect.answerAge ? std::min(encodeAge(*suspect.answerAge), std::uint16_t(NoAnswer - 1)) : NoAnswer);
+    const auto crashes = std::min(suspect.crashes.size(), CrashSuspects::MaxCrashes);
+    saveLength(ar, crashes, CrashSuspects::MaxCrashes);
+    for (std::size_t n = 0; n < crashes; ++n) {
+        const auto &it = suspect.crashes[n];
+        ar(it.process, encodeAge(it.age), std::uint8_t(it.refuted));
+    }
+}
+
+void loadSuspect(InputArchive &ar, SuspectReport &suspect)
+{
+    suspect.request = loadNumber<RequestDigest>(ar);
+    const auto age = loadNumber<std::uint16_t>(ar);
+    if (age != NoAnswer) {
+        suspect.answerAge = Milliseconds(age);
+    }
+    suspect.crashes.resize(loadLength(ar, CrashSuspects::MaxCrashes));
+    for (auto &it : suspect.crashes) {
+        it.process = loadNumber<ProcessDigest>(ar);
+        it.age = Milliseconds(loadNumber<std::uint16_t>(ar));
+        BoolField refuted{it.refuted};
+        ar(refuted);
+    }
+}
+
 /// Bits of the byte that says what an upstream has asked for.
 constexpr std::uint8_t LeavingBit = 1;
 constexpr std::uint8_t RateKnownBit = 2;
@@ -167,6 +198,11 @@
                 ar(encodeRate(*it.counts.requestRate));
             }
         }
+        const auto suspects = std::min(heartbeat.suspects.size(), MaxSuspectReports);
+        saveLength(ar, suspects, MaxSuspectReports);
+        for (std::size_t n = 0; n < suspects; ++n) {
+            saveSuspect(ar, heartbeat.suspects[n]);
+        }
     });
 }
 
@@ -198,6 +234,10 @@
             it.counts.successAge = Milliseconds(loadNumber<std::uint16_t>(ar));
             loadNotice(ar, it.counts);
         }
+        heartbeat.suspects.resize(loadLength(ar, MaxSuspectReports));
+        for (auto &it : heartbeat.suspects) {
+            loadSuspect(ar, it);
+        }
     });
     return heartbeat;
 }
--- a/src/gateway/groupmessages.h
+++ b/src/gateway/groupmessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/crashsuspects.h"
 #include "laburnumspar/instancegroup.h"
 #include "laburnumspar/storemirror.h"
 #include "laburnumspar/upstreampool.h"
@@ -32,6 +33,7 @@
     bool replyRequested = false; ///< the receiver answers with a heartbeat of its own
     std::vector<KnownInstance> knownInstances;
     std::vector<UpstreamObservation> observations;
+    std::vector<SuspectReport> suspects;
 };
 
 /// Maximum number of known instances per datagram; more do not fit into 1,400 bytes.
@@ -40,6 +42,9 @@
 /// Maximum number of observations per datagram.
 constexpr std::size_t MaxObservations = 32;
 
+/// Maximum number of requests under which upstreams have crashed per datagram.
+constexpr std::size_t MaxSuspectReports = 16;
+
 /// `zones` lists the zone names in an order that all instances share. Throws EncodeError.
 Bytes encodeHeartbeat(const GroupHeartbeat &heartbeat, const std::vector<std::string> &zones);
 /// Throws DecodeError if the datagram is invalid.
--- a/src/gateway/upstreamconnections.cpp
+++ b/src/gateway/upstreamconnections.cpp
@@ -44,6 +44,13 @@
     return std::chrono::seconds(seconds);
 }
 
+/// Whether the other side has closed or reset the connection.
+bool isClose(error_code ec)
+{
+    return ec == http::error::end_of_stream || ec == asio::error::eof || ec == asio::error::connection_reset
+        || ec == asio::error::broken_pipe;
+}
+
 } // namespace
 
 /// A connection to an upstream.
@@ -196,6 +203,7 @@
             if (!ec) {
                 self->read();
             } else if (n > 0) {
+                self->m_closedByUpstream = isClose(ec);
                 self->fail(ExchangeOutcome::Lost, ec.message());
             } else if (self->m_reused) {
                 // The idle connection was closed before any byte was sent.
@@ -233,6 +241,7 @@
         m_pendingBytes += n;
         m_state->pendingBytes += n;
         if (ec) {
+            m_closedByUpstream = isClose(ec) && !m_parser->got_some();
             fail(ExchangeOutcome::Lost, ec.message());
             return;
         }
@@ -303,6 +312,7 @@
         ExchangeResult result;
         result.outcome = outcome;
         result.failure = std::move(failure);
+        result.closedByUpstream = m_closedByUpstream;
         if (m_connection) {
             error_code ignored;
             m_connection->socket.close(ignored);
@@ -328,6 +338,7 @@
     unsigned m_skippedAnswers = 0;
     bool m_reused = false;
     bool m_connecting = false;
+    bool m_closedByUpstream = false;
 };
 
 UpstreamConnections::UpstreamConnections(asio::io_context &context,
--- a/src/gateway/upstreamconnections.h
+++ b/src/gateway/upstreamconnections.h
@@ -18,6 +18,7 @@
 struct ExchangeResult {
     ExchangeOutcome outcome = ExchangeOutcome::Lost;
     std::string failure; ///< error message, unless the exchange was answered
+    bool closedByUpstream = false; ///< the connection was closed or reset before any byte of the answer
     UpstreamMessage message;
     bool identified = false; ///< the answer carries the identifier of the request
     bool firstOnConnection = false; ///< no earlier request was sent on the connection
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -23,6 +23,9 @@
     heartbeat.observations.push_back({"orders", {"i-1", 3, 1, Milliseconds(1500), true, 7.5}});
     heartbeat.observations.push_back({"orders", {"i-2", 1, 0, Milliseconds(0), false, UpstreamNotice::Unlimited}});
     heartbeat.observations.push_back({"orders", {"i-3", 1, 0, Milliseconds(0)}});
+    heartbeat.suspects.push_back(
+        {0x1122334455667788, Milliseconds(40), {{0x99aabbccddeeff00, Milliseconds(30), true}}});
+    heartbeat.suspects.push_back({5, std::nullopt, {{6, Milliseconds(31'000), false}, {7, Milliseconds(20), false}}});
     return heartbeat;
 }
 
@@ -53,6 +56,16 @@
     BOOST_TEST(!heartbeat.observations[1].counts.leaving);
     BOOST_TEST(heartbeat.observations[1].counts.requestRate.value() == UpstreamNotice::Unlimited);
     BOOST_TEST(!heartbeat.observations[2].counts.requestRate.has_value());
+    BOOST_REQUIRE(heartbeat.suspects.size() == 2U);
+    BOOST_TEST(heartbeat.suspects[0].request == 0x1122334455667788U);
+    BOOST_TEST(heartbeat.suspects[0].answerAge.value().count() == 40);
+    BOOST_REQUIRE(heartbeat.suspects[0].crashes.size() == 1U);
+    BOOST_TEST(heartbeat.suspects[0].crashes[0].process == 0x99aabbccddeeff00U);
+    BOOST_TEST(heartbeat.suspects[0].crashes[0].refuted);
+    BOOST_TEST(!heartbeat.suspects[1].answerAge.has_value());
+    BOOST_REQUIRE(heartbeat.suspects[1].crashes.size() == 2U);
+    BOOST_TEST(heartbeat.suspects[1].crashes[0].age.count() == 31'000);
+    BOOST_TEST(!heartbeat.suspects[1].crashes[1].refuted);
 }
 
 // Guards against datagrams that are fragmented because they exceed the usual Ethernet frame.
