--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -40,6 +40,9 @@
     void refuseIfLate(TimePoint now);
 
 private:
+    static constexpr Milliseconds MinRetryAfter{100};
+    static constexpr std::string_view CallerClosed = "caller has closed its connection";
+
     struct Attempt {
         UpstreamPool::AttemptId id = 0;
         RegisteredUpstream upstream;
