Replies that would come back the same are not an outage of their sender

Cause: every failure of a reply was a status of 0 and a text, and counted as an unreachable store. Unreadable changes and unexpected statuses were treated in the same way. Ruled out: the size of one configuration (one is read without trouble), and the history of the store, which is complete. A higher limit would only move the fault.

ReplyFailure gives the failures a type. Changes that are too large, malformed, too slow or of an unexpected status lead to a list of the store at once; ListingPace bounds the rate of later ones. An unusable page of one prefix does not keep the other from being read. Pulls with such answers lead to reads of the store in place of the other instance, which stays a member. Answers of upstreams keep theirs: bytes without end of a faulty upstream look the same as an answer over the limit.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -264,6 +264,8 @@
         metrics.gauge("lspar_store_age_seconds").set(double(follower.fleetStoreAge(Clock::now()).count()) / 1000);
         metrics.gauge("lspar_pulls").set(double(follower.pulls()));
         metrics.gauge("lspar_pulls_failed").set(double(follower.failedPulls()));
+        metrics.gauge("lspar_pulls_rejected").set(double(follower.rejectedPulls()));
+        metrics.gauge("lspar_store_replies_rejected").set(double(follower.rejectedReplies()));
         metrics.gauge("lspar_requests_in_flight").set(double(forwarder.inFlight()));
         co_return makeResponse(http::status::ok, "text/plain; version=0.0.4", metrics.prometheus());
     }
--- a/src/gateway/httpchannel.cpp
+++ b/src/gateway/httpchannel.cpp
@@ -10,6 +10,11 @@
 /// Unparsed data of a reply. Heads and chunk headers have to fit.
 constexpr std::size_t MaxUnparsedBytes = 128 << 10;
 
+ChannelReply failedReply(error_code ec, bool headRead = false)
+{
+    return {0, {}, {}, readFailure(ec, headRead), ec.message()};
+}
+
 } // namespace
 
 HttpChannel::HttpChannel(asio::io_context &context, Endpoint server, std::string acceptedEncoding)
@@ -40,7 +45,7 @@
         auto [ec] = co_await m_stream->async_connect(toAsio<tcp>(m_server), NoThrowAwaitable);
         if (ec) {
             m_stream.reset();
-            co_return ChannelReply{0, {}, ec.message(), {}};
+            co_return failedReply(ec);
         }
         error_code ignored;
         m_stream->socket().set_option(tcp::no_delay(true), ignored);
@@ -62,16 +67,19 @@
     }
     auto [writeError, written] = co_await http::async_write(*m_stream, request, NoThrowAwaitable);
     if (writeError) {
-        co_return ChannelReply{0, {}, writeError.message(), {}};
+        co_return failedReply(writeError);
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxReplyBytes);
     auto [readError, n] = co_await http::async_read(*m_stream, m_buf, parser, NoThrowAwaitable);
     if (readError) {
-        co_return ChannelReply{0, {}, readError.message(), {}};
+        co_return failedReply(readError, parser.is_header_done());
     }
     auto &response = parser.get();
-    ChannelReply reply{response.result_int(), std::move(response.body()), {}, std::move(response.base())};
+    ChannelReply reply;
+    reply.status = response.result_int();
+    reply.body = std::move(response.body());
+    reply.headers = std::move(response.base());
     if (!parser.keep_alive()) {
         m_stream.reset();
     }
--- a/src/gateway/httpchannel.h
+++ b/src/gateway/httpchannel.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/io.h"
+#include "net/replyfailure.h"
 
 #include <memory>
 #include <optional>
@@ -9,10 +9,11 @@
 namespace laburnumspar::detail {
 
 struct ChannelReply {
-    unsigned status = 0; ///< HTTP status; 0 if the request failed
+    unsigned status = 0; ///< HTTP status; 0 if no complete reply has arrived
     std::string body;
-    std::string failure; ///< error message if the request failed
     http::fields headers;
+    ReplyFailure failure = ReplyFailure::None; ///< why no complete reply has arrived
+    std::string error; ///< message that belongs to `failure`
 };
 
 /// Sends GET requests to one server over a persistent connection. Only one request may be in progress at a time.
@@ -22,7 +23,8 @@
     /// `acceptedEncoding`: content encoding in which the server may answer; empty if none.
     HttpChannel(asio::io_context &context, Endpoint server, std::string acceptedEncoding = {});
 
-    /// Never throws. If no complete answer arrives within `timeout`, the connection is closed.
+    /// Never throws. If no complete reply arrives within `timeout`, or one that exceeds its limit, the connection is
+    /// closed.
     awaitable<ChannelReply> get(const std::string &target, Milliseconds timeout);
     const Endpoint &server() const
     {
--- a/src/gateway/pullsource.cpp
+++ b/src/gateway/pullsource.cpp
@@ -9,6 +9,8 @@
 
 /// Time for which an instance that did not answer a pull is asked only if no other one has newer changes.
 constexpr Milliseconds PeerAvoidance{2000};
+/// Time for which an instance whose answer was unusable is not asked. The same answer is likely to come back.
+constexpr Milliseconds RejectionTime{2000};
 /// Age from which a difference between two instances is not explained by a change that is still being passed on.
 constexpr Milliseconds DifferenceTimeout{1200};
 constexpr Milliseconds MaxPeerStatusAge{700};
@@ -57,15 +59,27 @@
 {
     if (answered) {
         m_avoidedUntil.erase(ip);
+        m_rejectedUntil.erase(ip);
     } else {
         m_avoidedUntil[ip] = now + PeerAvoidance;
     }
 }
 
+void PullSource::recordRejection(const std::string &ip, TimePoint now)
+{
+    m_rejectedUntil[ip] = now + RejectionTime;
+}
+
 bool PullSource::isAvoided(const std::string &ip, TimePoint now) const
 {
     const auto it = m_avoidedUntil.find(ip);
-    return it != m_avoidedUntil.end() && now < it->second;
+    return (it != m_avoidedUntil.end() && now < it->second) || isRejected(ip, now);
+}
+
+bool PullSource::isRejected(const std::string &ip, TimePoint now) const
+{
+    const auto it = m_rejectedUntil.find(ip);
+    return it != m_rejectedUntil.end() && now < it->second;
 }
 
 /// Returns the instance with the newest changes, or null if none is newer than this one. Those that have not answered
@@ -74,7 +88,8 @@
 {
     const InstanceStatus *best = nullptr;
     for (const auto &it : m_peers) {
-        if (it.storeRevision <= m_mirror.newestRevision() || (ownZoneOnly && it.zone != m_zone)) {
+        if (it.storeRevision <= m_mirror.newestRevision() || (ownZoneOnly && it.zone != m_zone)
+            || isRejected(it.ip, now)) {
             continue;
         }
         // The hash makes instances that start together pull from different ones among equals.
--- a/src/gateway/pullsource.h
+++ b/src/gateway/pullsource.h
@@ -26,6 +26,9 @@
     /// Records whether an instance has answered a pull. One that has not is chosen only if no other one has newer
     /// changes, until some time has passed.
     void recordAnswer(const std::string &ip, bool answered, TimePoint now);
+    /// Records that an instance has answered a pull with something unusable. It is not chosen until some time has
+    /// passed, also if no other one has newer changes.
+    void recordRejection(const std::string &ip, TimePoint now);
     bool isAvoided(const std::string &ip, TimePoint now) const;
 
 private:
@@ -38,6 +41,7 @@
     };
 
     const InstanceStatus *newest(bool ownZoneOnly, TimePoint now) const;
+    bool isRejected(const std::string &ip, TimePoint now) const;
 
     std::string m_ip;
     std::string m_zone;
@@ -47,6 +51,7 @@
     std::map<std::string, Difference>
         m_differences; ///< by address: active instances whose copy differs but is not newer
     std::map<std::string, TimePoint> m_avoidedUntil; ///< by address: instances that did not answer a pull
+    std::map<std::string, TimePoint> m_rejectedUntil; ///< by address: instances whose answers were unusable
     std::optional<TimePoint> m_otherZoneNewerSince; ///< since when only other zones have newer changes
 };
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -30,6 +30,9 @@
 constexpr Milliseconds PollInterval{300};
 /// Used instead of PollInterval while routes or upstreams are unknown.
 constexpr Milliseconds IncompletePollInterval{50};
+/// Time for which an instance reads the store itself after an unusable pull. Longer than the time until the next pull
+/// from the same instance, so that the reads go on if that is not usable either.
+constexpr Milliseconds OwnReadsTime{3000};
 /// Delay after an unexpected error before a task goes on.
 constexpr Milliseconds FailureDelay{500};
 /// Time after the start within which other instances are expected to report what they have read. A seed reads the store
@@ -184,13 +187,26 @@
     }
     announceIfChanged(before);
     m_storeDelay = isComplete() ? PollInterval : IncompletePollInterval;
-    if (m_group.isStoreReader(fleetStoreAge(now), now) || peerTimeoutExpired(now)) {
+    if (shallReadStore(now)) {
         co_await readStore();
-        const bool active = m_group.self().role == InstanceRole::Active;
-        m_storeDelay = !m_storeFailedSince ? ReadInterval : active ? ActiveRetryInterval : InactiveRetryInterval;
+        m_storeDelay = nextStoreDelay(now);
     }
 }
 
+bool StoreFollower::shallReadStore(TimePoint now) const
+{
+    return m_group.isStoreReader(fleetStoreAge(now), now) || peerTimeoutExpired(now) || now < m_ownReadsUntil;
+}
+
+/// Returns the time from a read of the store until the next one.
+Milliseconds StoreFollower::nextStoreDelay(TimePoint now) const
+{
+    if (m_group.self().role == InstanceRole::Active) {
+        return m_storeFailedSince ? ActiveRetryInterval : ReadInterval;
+    }
+    return m_storeFailedSince || now < m_ownReadsUntil ? InactiveRetryInterval : ReadInterval;
+}
+
 /// Pulls newer changes from another instance, or waits until there may be some.
 awaitable<void> StoreFollower::followPeers()
 {
@@ -223,12 +239,17 @@
     auto reply = co_await channel.get(changesTarget(after), PullTimeout);
     const auto now = Clock::now();
     const std::int64_t took = std::chrono::duration_cast<Milliseconds>(now - begin).count();
+    const auto failure = reply.status == 0 ? reply.failure : statusFailure(reply.status);
+    if (reply.status != 200 && isPersistent(failure)) {
+        rejectPull(ip, failure, reply.status == 0 ? reply.error : "HTTP status " + std::to_string(reply.status), now);
+        co_return false;
+    }
     if (reply.status != 200) {
         ++m_failedPulls;
         logEvent(
             LogLevel::Warning,
             "group.pull-failed",
-            {{"from", ip}, {"after", after.number}, {"status", reply.status}, {"error", reply.failure}, {"ms", took}});
+            {{"from", ip}, {"after", after.number}, {"status", reply.status}, {"error", reply.error}, {"ms", took}});
         m_group.markUnresponsive(ip, now);
         m_source.recordAnswer(ip, false, now);
         co_return false;
@@ -251,7 +272,7 @@
         ++m_pulls;
         m_copy.applyPull(std::move(changes), now);
     } catch (const DecodeError &e) {
-        logEvent(LogLevel::Error, "group.pull-rejected", {{"from", ip}, {"error", e.what()}});
+        rejectPull(ip, ReplyFailure::Malformed, e.what(), now);
         co_return false;
     }
     if (m_group.self().role == InstanceRole::Active) {
@@ -260,15 +281,26 @@
     co_return m_copy.mirror().newestRevision() > before;
 }
 
+/// The other instance is alive, so it stays a member of the group. Only its copy of the store cannot be used here.
+void StoreFollower::rejectPull(const std::string &ip, ReplyFailure failure, const std::string &error, TimePoint now)
+{
+    ++m_rejectedPulls;
+    logEvent(LogLevel::Error, "group.pull-rejected", {{"from", ip}, {"failure", name(failure)}, {"error", error}});
+    m_source.recordRejection(ip, now);
+    m_ownReadsUntil = now + OwnReadsTime;
+    wake();
+}
+
 awaitable<void> StoreFollower::readStore()
 {
     const auto before = m_copy.mirror().newestRevision();
     if (m_copy.position()) {
         co_await readChanges();
     }
-    // There is no position at the start, and after the store has dropped its history. The changes in the gap appear
-    // only in a full list, so it is read at once.
-    if (!m_copy.position()) {
+    // There is no position at the start, after the store has dropped its history, and after changes that could not be
+    // used. The changes in the gap appear only in a full list, so it is read at once.
+    if (!m_copy.position() && m_listingPace.isDue(Clock::now())) {
+        m_listingPace.begin(Clock::now());
         co_await readAll();
     }
     announceIfChanged(before);
@@ -284,84 +316,128 @@
 awaitable<bool> StoreFollower::readAll()
 {
     StoreCopy::Listing listing;
+    bool complete = true;
     const std::vector<std::string> prefixes{m_adapter.upstreamPrefix, m_adapter.routesPrefix};
     for (const auto &prefix : prefixes) {
-        std::string after;
-        bool more = true;
-        while (more) {
-            const auto target = m_adapter.listTarget(prefix, after);
-            auto page = co_await queryStore(target, ReadTimeout, false);
-            if (!page) {
-                co_return false;
-            }
-            more = page->truncated && !page->items.empty();
-            if (more) {
-                after = page->items.back().key;
-            }
-            if (!m_copy.applyPage(std::move(*page), listing, Clock::now())) {
-                co_return false;
-            }
+        const auto failure = co_await readPages(prefix, listing);
+        if (failure == ReplyFailure::Unavailable) {
+            co_return false;
         }
+        // What another prefix lists can be used although the list is not complete.
+        complete = complete && failure == ReplyFailure::None;
+    }
+    if (!complete) {
+        co_return false;
     }
     m_copy.finishListing(listing, Clock::now());
+    m_listingPace.recordCompletion();
     co_return true;
 }
 
+awaitable<ReplyFailure> StoreFollower::readPages(const std::string &prefix, StoreCopy::Listing &listing)
+{
+    std::string after;
+    bool more = true;
+    while (more) {
+        const auto target = m_adapter.listTarget(prefix, after);
+        auto [page, failure] = co_await queryStore(target, ReadTimeout, Query::List);
+        if (!page) {
+            co_return failure;
+        }
+        more = page->truncated && !page->items.empty();
+        if (more) {
+            after = page->items.back().key;
+        }
+        if (!m_copy.applyPage(std::move(*page), listing, Clock::now())) {
+            co_return ReplyFailure::Unavailable;
+        }
+    }
+    co_return ReplyFailure::None;
+}
+
 awaitable<bool> StoreFollower::readChanges()
 {
     const auto after = *m_copy.position();
     const auto target = m_adapter.watchTarget("", after, WatchWait);
-    auto page = co_await queryStore(target, WatchWait + ReadTimeout / 2, true);
+    auto [page, failure] = co_await queryStore(target, WatchWait + ReadTimeout / 2, Query::Changes);
     co_return page &&m_copy.applyChanges(std::move(*page), after, Clock::now());
 }
 
-awaitable<std::optional<PlatformAdapter::Page>>
-StoreFollower::queryStore(const std::string &target, Milliseconds timeout, bool changes)
+awaitable<StoreFollower::QueryResult>
+StoreFollower::queryStore(const std::string &target, Milliseconds timeout, Query query)
 {
-    constexpr unsigned HistoryGoneStatus = 410;
     ++m_storeCalls;
     const auto reply = co_await m_store.get(target, timeout);
     const auto now = Clock::now();
-    if (reply.status != 200 && reply.status != HistoryGoneStatus) {
-        recordStoreFailure(reply.status == 0 ? reply.failure : "HTTP status " + std::to_string(reply.status), now);
-        co_return std::nullopt;
+    if (reply.status == 0) {
+        co_return rejectReply(query, reply.failure, reply.error, now);
     }
-    const auto era = enterEra(reply, now);
-    if (!era) {
-        recordStoreFailure("the answer is from an earlier era, or states an invalid one", now);
-        co_return std::nullopt;
-    }
-    if (reply.status == HistoryGoneStatus) {
-        logEvent(LogLevel::Warning, "store.history-gone", {{"after", m_copy.position().value_or(Revision()).number}});
-        recordStoreAnswer(now);
-        m_copy.forgetPosition();
-        co_return std::nullopt;
+    if (reply.status != 200 && !isHistoryGone(reply, query)) {
+        co_return rejectReply(query, statusFailure(reply.status), "HTTP status " + std::to_string(reply.status), now);
     }
+    co_return decodeReply(reply, query, now);
+}
+
+StoreFollower::QueryResult StoreFollower::decodeReply(const ChannelReply &reply, Query query, TimePoint now)
+{
     try {
-        auto page = changes ? m_adapter.decodeChanges(reply.body, *era) : m_adapter.decodePage(reply.body, *era);
+        const auto era = enterEra(reply, now);
+        if (!era) {
+            return rejectReply(query, ReplyFailure::Unavailable, "the answer is from an earlier era", now);
+        }
+        if (isHistoryGone(reply, query)) {
+            logEvent(
+                LogLevel::Warning, "store.history-gone", {{"after", m_copy.position().value_or(Revision()).number}});
+            recordStoreAnswer(now);
+            m_copy.forgetPosition();
+            return {std::nullopt, ReplyFailure::Unavailable};
+        }
+        auto page = query == Query::Changes ? m_adapter.decodeChanges(reply.body, *era)
+                                            : m_adapter.decodePage(reply.body, *era);
         recordStoreAnswer(now);
-        co_return page;
+        return {std::move(page), ReplyFailure::None};
     } catch (const DecodeError &e) {
-        recordStoreFailure(e.what(), now);
-        co_return std::nullopt;
+        return rejectReply(query, ReplyFailure::Malformed, e.what(), now);
     }
 }
 
-/// Returns the era in which the store has answered, or no value if the answer is outdated or its era invalid. An answer
-/// that states none belongs to the known era.
+/// Whether the store no longer has the changes after the revision that was asked for.
+bool StoreFollower::isHistoryGone(const ChannelReply &reply, Query query)
+{
+    return reply.status == unsigned(http::status::gone) && query == Query::Changes;
+}
+
+StoreFollower::QueryResult
+StoreFollower::rejectReply(Query query, ReplyFailure failure, const std::string &error, TimePoint now)
+{
+    // Changes that do not arrive in time would be as long the next time. A list is mostly shorter.
+    const bool changesTooSlow = query == Query::Changes && failure == ReplyFailure::TooSlow;
+    if (!isPersistent(failure) && !changesTooSlow) {
+        recordStoreFailure(error, now);
+        return {std::nullopt, ReplyFailure::Unavailable};
+    }
+    ++m_rejectedReplies;
+    logEvent(LogLevel::Warning,
+             "store.reply-rejected",
+             {{"query", query == Query::List ? "list" : "changes"},
+              {"after", m_copy.position().value_or(Revision()).number},
+              {"failure", name(failure)},
+              {"error", error}});
+    m_copy.forgetPosition();
+    m_listingPace.recordRejection(query == Query::List);
+    return {std::nullopt, failure};
+}
+
+/// Returns the era in which the store has answered, or no value if the answer is outdated. An answer that states none
+/// belongs to the known era. Throws DecodeError.
 std::optional<std::uint64_t> StoreFollower::enterEra(const ChannelReply &reply, TimePoint now)
 {
     const auto header = reply.headers.find(m_adapter.eraHeader);
     if (header == reply.headers.end()) {
         return m_copy.era();
     }
-    try {
-        const auto era = m_adapter.decodeEra({header->value().data(), header->value().size()});
-        return m_copy.enterEra(era, now) ? std::optional(era) : std::nullopt;
-    } catch (const DecodeError &e) {
-        logEvent(LogLevel::Warning, "store.era-rejected", {{"error", e.what()}});
-        return std::nullopt;
-    }
+    const auto era = m_adapter.decodeEra({header->value().data(), header->value().size()});
+    return m_copy.enterEra(era, now) ? std::optional(era) : std::nullopt;
 }
 
 void StoreFollower::recordStoreAnswer(TimePoint now)
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/httpchannel.h"
+#include "gateway/listingpace.h"
 #include "gateway/pullsource.h"
 #include "gateway/storecopy.h"
 
@@ -66,9 +67,26 @@
     {
         return m_failedPulls;
     }
+    /// Number of replies that arrived but were not usable, for example because they were too large.
+    std::uint64_t rejectedReplies() const
+    {
+        return m_rejectedReplies;
+    }
+    std::uint64_t rejectedPulls() const
+    {
+        return m_rejectedPulls;
+    }
 
 private:
     using Step = awaitable<void> (StoreFollower::*)();
+    enum class Query : std::uint8_t {
+        List,
+        Changes,
+    };
+    struct QueryResult {
+        std::optional<PlatformAdapter::Page> page;
+        ReplyFailure failure = ReplyFailure::None; ///< why there is no page
+    };
 
     awaitable<void> repeat(Step step, const char *name);
     awaitable<void> followStore();
@@ -76,13 +94,23 @@
     awaitable<void> readStore();
     /// Lists all items. Returns false if the store gave no usable answer.
     awaitable<bool> readAll();
+    /// Lists the items of one prefix, page by page.
+    awaitable<ReplyFailure> readPages(const std::string &prefix, StoreCopy::Listing &listing);
     /// Waits for changes after the position. Returns false if the store gave no usable answer.
     awaitable<bool> readChanges();
-    awaitable<std::optional<PlatformAdapter::Page>>
-    queryStore(const std::string &target, Milliseconds timeout, bool changes);
+    awaitable<QueryResult> queryStore(const std::string &target, Milliseconds timeout, Query query);
+    /// Decodes a reply with status 200, or 410 for changes that the store no longer has.
+    QueryResult decodeReply(const ChannelReply &reply, Query query, TimePoint now);
+    static bool isHistoryGone(const ChannelReply &reply, Query query);
+    /// Records a reply that is not usable. One that would come back leads to a listing of the store.
+    QueryResult rejectReply(Query query, ReplyFailure failure, const std::string &error, TimePoint now);
     /// Pulls the changes after a revision, or all items if `after` is empty. Returns true if there were new ones.
     awaitable<bool> pullFromPeer(const std::string &ip, Revision after);
+    /// Records the answer of another instance that would come back, and reads the store in its place.
+    void rejectPull(const std::string &ip, ReplyFailure failure, const std::string &error, TimePoint now);
     bool peerTimeoutExpired(TimePoint now) const;
+    bool shallReadStore(TimePoint now) const;
+    Milliseconds nextStoreDelay(TimePoint now) const;
     std::optional<std::uint64_t> enterEra(const ChannelReply &reply, TimePoint now);
     void recordStoreAnswer(TimePoint now);
     void recordActivity(TimePoint now);
@@ -104,6 +132,8 @@
     asio::steady_timer m_peerTimer;
     StoreCopy m_copy;
     PullSource m_source;
+    ListingPace m_listingPace;
+    TimePoint m_ownReadsUntil; ///< until then, the store is read because pulls were not usable
     std::optional<TimePoint> m_lastStoreAnswer;
     std::optional<TimePoint> m_storeFailedSince;
     std::optional<TimePoint> m_lastFleetAnswer; ///< when the store last answered any instance
@@ -111,6 +141,8 @@
     std::uint64_t m_storeCalls = 0;
     std::uint64_t m_pulls = 0;
     std::uint64_t m_failedPulls = 0;
+    std::uint64_t m_rejectedReplies = 0;
+    std::uint64_t m_rejectedPulls = 0;
 };
 
 } // namespace laburnumspar::detail
--- a/src/net/platformreader.cpp
+++ b/src/net/platformreader.cpp
@@ -16,27 +16,32 @@
 constexpr Milliseconds ReadInterval{10};
 constexpr std::string_view ValuesPrefix = "/teams/";
 
-// Returns the result of the parser. Logs a reply that cannot be decoded and returns an empty value.
-template <typename Parser>
-auto parse(std::string_view call, Parser parser) -> std::optional<decltype(parser())>
-{
-    try {
-        return parser();
-    } catch (const DecodeError &e) {
-        logEvent(LogLevel::Warning, "platform.bad-answer", {{"call", call}, {"error", e.what()}});
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 PlatformReader::PlatformReader(Context context)
     : m_context(std::move(context))
     , m_calls(m_context.metrics.counter("lspar_platform_calls_total"))
     , m_failures(m_context.metrics.counter("lspar_platform_failures_total"))
+    , m_rejected(m_context.metrics.counter("lspar_platform_rejected_total"))
 {
 }
 
+template <typename Parser>
+auto PlatformReader::parse(std::string_view call, const Reply &reply, Parser parser)
+    -> std::optional<decltype(parser(std::string()))>
+{
+    if (!reply.body) {
+        return std::nullopt;
+    }
+    try {
+        return parser(*reply.body);
+    } catch (const DecodeError &e) {
+        m_rejected.add();
+        logEvent(LogLevel::Warning, "platform.bad-answer", {{"call", call}, {"error", e.what()}});
+        return std::nullopt;
+    }
+}
+
 void PlatformReader::start()
 {
     if (m_context.addresses.empty()) {
@@ -57,15 +62,16 @@
         }
         const auto startedAt = Clock::now();
         const auto wait = after == Revision() ? Milliseconds(0) : WatchTimeout;
-        const auto body
+        const auto reply
             = co_await httpGet(m_context.dialect.watchTarget(ValuesPrefix, after, wait), wait + CallTimeout);
-        std::optional<PlatformVersions> changes;
-        if (body) {
-            changes = parse("watch", [&] { return m_context.dialect.parseChanges(*body); });
-        }
+        const auto changes
+            = parse("watch", reply, [&](const std::string &body) { return m_context.dialect.parseChanges(body); });
         const bool complete = changes && co_await readChanges(changes->values);
         if (complete) {
             after = std::max(after, changes->version);
+        } else if (!changes && reply.failure != ReplyFailure::Unavailable) {
+            // The same changes would come back, so the next watch starts from the beginning.
+            after = Revision();
         }
         co_await waitForNextCall(startedAt, !complete);
     }
@@ -78,11 +84,9 @@
         if (!m_context.isNewer(change)) {
             continue;
         }
-        const auto body = co_await httpGet(m_context.dialect.readTarget(change.path), CallTimeout);
-        std::optional<PlatformValue> value;
-        if (body) {
-            value = parse("read", [&] { return m_context.dialect.parseValue(*body); });
-        }
+        const auto reply = co_await httpGet(m_context.dialect.readTarget(change.path), CallTimeout);
+        const auto value
+            = parse("read", reply, [&](const std::string &body) { return m_context.dialect.parseValue(body); });
         if (value) {
             m_context.onValue(*value);
         }
@@ -100,11 +104,9 @@
             continue;
         }
         const auto startedAt = Clock::now();
-        const auto body = co_await httpGet(m_context.dialect.instancesTarget(), CallTimeout);
-        std::optional<PlatformInstances> instances;
-        if (body) {
-            instances = parse("instances", [&] { return m_context.dialect.parseInstances(*body); });
-        }
+        const auto reply = co_await httpGet(m_context.dialect.instancesTarget(), CallTimeout);
+        const auto instances = parse(
+            "instances", reply, [&](const std::string &body) { return m_context.dialect.parseInstances(body); });
         if (instances) {
             logRejected(*instances);
             m_context.onInstances(*instances);
@@ -136,7 +138,7 @@
     }
 }
 
-awaitable<std::optional<std::string>> PlatformReader::httpGet(std::string target, Milliseconds timeout)
+awaitable<PlatformReader::Reply> PlatformReader::httpGet(std::string target, Milliseconds timeout)
 {
     m_calls.add();
     const auto &address = m_context.addresses[m_nextAddress % m_context.addresses.size()];
@@ -144,24 +146,38 @@
     stream.expires_after(timeout);
     auto [connectError] = co_await stream.async_connect(toAsio<tcp>(address), NoThrowAwaitable);
     if (connectError) {
-        co_return std::nullopt;
+        co_return fail(target, ReplyFailure::Unavailable, connectError.message());
     }
     http::request<http::empty_body> request{http::verb::get, target, 11};
     request.set(http::field::host, toString(address));
     request.keep_alive(false);
     auto [writeError, written] = co_await http::async_write(stream, request, NoThrowAwaitable);
     if (writeError) {
-        co_return std::nullopt;
+        co_return fail(target, ReplyFailure::Unavailable, writeError.message());
     }
     beast::flat_buffer buf;
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxAnswerBytes);
     auto [readError, n] = co_await http::async_read(stream, buf, parser, NoThrowAwaitable);
-    if (readError || parser.get().result() != http::status::ok) {
-        co_return std::nullopt;
+    if (readError) {
+        co_return fail(target, readFailure(readError, parser.is_header_done()), readError.message());
+    }
+    if (const auto status = parser.get().result_int(); status != unsigned(http::status::ok)) {
+        co_return fail(target, statusFailure(status), "HTTP status " + std::to_string(status));
     }
     m_lastSuccessAt = Clock::now();
-    co_return std::move(parser.get().body());
+    co_return Reply{std::move(parser.get().body())};
+}
+
+PlatformReader::Reply PlatformReader::fail(std::string_view target, ReplyFailure failure, std::string_view error)
+{
+    if (failure != ReplyFailure::Unavailable) {
+        m_rejected.add();
+        logEvent(LogLevel::Warning,
+                 "platform.reply-rejected",
+                 {{"target", target}, {"failure", name(failure)}, {"error", error}});
+    }
+    return {std::nullopt, failure};
 }
 
 } // namespace laburnumspar::detail
--- a/src/net/platformreader.h
+++ b/src/net/platformreader.h
@@ -2,7 +2,7 @@
 
 #include "laburnumspar/metrics.h"
 #include "laburnumspar/platformdialect.h"
-#include "net/io.h"
+#include "net/replyfailure.h"
 
 namespace laburnumspar::detail {
 
@@ -38,6 +38,11 @@
     }
 
 private:
+    struct Reply {
+        std::optional<std::string> body; ///< of a response with status 200
+        ReplyFailure failure = ReplyFailure::None; ///< why there is no body
+    };
+
     awaitable<void> watchValues();
     awaitable<void> pollInstances();
     /// Reads the changed values. Returns false if one of them could not be read.
@@ -46,8 +51,13 @@
     void logRejected(const PlatformInstances &instances);
     /// Counts a failure and waits until the next call may start.
     awaitable<void> waitForNextCall(TimePoint startedAt, bool failed);
-    /// Returns the body of a response with status 200; empty on any failure.
-    awaitable<std::optional<std::string>> httpGet(std::string target, Milliseconds timeout);
+    awaitable<Reply> httpGet(std::string target, Milliseconds timeout);
+    /// Counts and logs a failure, unless the platform is only unavailable.
+    Reply fail(std::string_view target, ReplyFailure failure, std::string_view error);
+    /// Returns the result of the parser. Counts and logs a reply that cannot be decoded and returns an empty value.
+    template <typename Parser>
+    auto parse(std::string_view call, const Reply &reply, Parser parser)
+        -> std::optional<decltype(parser(std::string()))>;
 
     Context m_context;
     std::vector<std::string> m_lastRejected; ///< used by pollInstances() only
@@ -56,6 +66,7 @@
     std::atomic<std::size_t> m_nextAddress = 0;
     Counter &m_calls;
     Counter &m_failures;
+    Counter &m_rejected;
 };
 
 } // namespace laburnumspar::detail
--- a/tests/test_httpchannel.cpp
+++ b/tests/test_httpchannel.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <tuple>
+
 using namespace laburnumspar;
 using namespace laburnumspar::detail;
 using namespace std::chrono_literals;
@@ -66,3 +68,47 @@
     BOOST_TEST(reply.body == "1234");
     BOOST_TEST(reply.headers["Store-Era"] == "2");
 }
+
+// Guards against a reply that comes back the same each time and is taken for an unreachable server (review case 4).
+BOOST_FIXTURE_TEST_CASE(failuresHaveTypes, Fixture)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunk = "100000\r\n" + std::string(1 << 20, ' ') + "\r\n";
+    std::string chunks = head + "Transfer-Encoding: chunked\r\n\r\n";
+    for (unsigned n = 0; n < 17; ++n) {
+        chunks += chunk;
+    }
+    const std::vector<std::tuple<std::string, bool, ReplyFailure>> cases{
+        {head + "Content-Length: 16777217\r\n\r\n", true, ReplyFailure::TooLarge},
+        {chunks, true, ReplyFailure::TooLarge},
+        {head + "X-Long: " + std::string(200'000, 'x') + "\r\n\r\n", true, ReplyFailure::TooLarge},
+        {"220 mail.example ESMTP\r\n\r\n", true, ReplyFailure::Malformed},
+        {head + "Content-Length: many\r\n\r\n", true, ReplyFailure::Malformed},
+        {head + "Content-Length: 10\r\n\r\n{", true, ReplyFailure::TooSlow},
+        {head, true, ReplyFailure::Unavailable},
+        {"", true, ReplyFailure::Unavailable},
+        {head + "Content-Length: 10\r\n\r\n{", false, ReplyFailure::Unavailable},
+        {"", false, ReplyFailure::Unavailable}};
+    for (const auto &[text, open, failure] : cases) {
+        server.script
+            = [text = text, open = open](RawUpstream &self, tcp::socket &socket, std::string) -> awaitable<void> {
+            co_await self.send(socket, text);
+            if (!open) {
+                error_code ignored;
+                socket.close(ignored);
+            }
+        };
+        BOOST_TEST_CONTEXT(text.substr(0, 60) << (open ? "" : ", then closed"))
+        {
+            const auto reply = get();
+            BOOST_TEST(reply.status == 0U);
+            BOOST_TEST(name(reply.failure) == name(failure));
+        }
+    }
+    server.close();
+    BOOST_TEST(name(get().failure) == name(ReplyFailure::Unavailable));
+    BOOST_TEST(name(statusFailure(404)) == name(ReplyFailure::UnexpectedStatus));
+    BOOST_TEST(name(statusFailure(500)) == name(ReplyFailure::UnexpectedStatus));
+    BOOST_TEST(name(statusFailure(429)) == name(ReplyFailure::Unavailable));
+    BOOST_TEST(name(statusFailure(503)) == name(ReplyFailure::Unavailable));
+}
