gateway: encode and compress the changes of the store once for all instances that pull them

Callers were not accepted for seconds while large versions of the routes were passed on. An instance that holds the newest version encoded and compressed the whole content anew for each pull, in the thread that accepts connections and forwards requests; in a zone with dozens of instances each version was compressed dozens of times.

Answers are kept until the copy of the store changes: StoreMirror and StoreCopy count the changes of what a pull returns, also those that change no item (revision, gaps, routes in use). Four answers are kept, for instances that differ by a read or two in the revision that they know.

--- a/include/laburnumspar/storemirror.h
+++ b/include/laburnumspar/storemirror.h
@@ -39,6 +39,7 @@
     /// Records that the mirror contains all changes up to this revision.
     void markCompleteUpTo(Revision revision)
     {
+        m_changeCount += revision > m_newestRevision ? 1 : 0;
         m_newestRevision = std::max(m_newestRevision, revision);
     }
     /// Newest revision that is known to be in the mirror; reported to the other instances.
@@ -58,6 +59,11 @@
     {
         return m_digest;
     }
+    /// Grows with each change of the items or of what is known about them.
+    std::uint64_t changeCount() const
+    {
+        return m_changeCount;
+    }
     bool empty() const
     {
         return m_items.empty();
@@ -93,6 +99,7 @@
     Revision m_highestRevision; ///< of all items
     std::vector<Gap> m_gaps; ///< the oldest first
     std::uint32_t m_digest = 0;
+    std::uint64_t m_changeCount = 0;
 };
 
 } // namespace laburnumspar
--- a/src/gateway/changesreply.cpp
+++ b/src/gateway/changesreply.cpp
@@ -3,6 +3,8 @@
 #include "gateway/compression.h"
 #include "gateway/groupmessages.h"
 
+#include <algorithm>
+
 namespace laburnumspar::detail {
 
 namespace {
@@ -10,6 +12,8 @@
 constexpr std::string_view ChangesTarget = "/changes?after=";
 /// Smaller answers are not compressed.
 constexpr std::size_t MinCompressedBytes = 2000;
+/// Instances differ in the revision that they know by one or two reads of the store.
+constexpr std::size_t MaxBodies = 4;
 
 } // namespace
 
@@ -18,7 +22,7 @@
     return std::string(ChangesTarget) + toString(after);
 }
 
-HttpResponse answerChanges(const HttpRequest &request, const StoreCopy &copy)
+HttpResponse ChangesReplies::answer(const HttpRequest &request, const StoreCopy &copy)
 {
     const std::string target(request.target());
     if (!target.starts_with(ChangesTarget)) {
@@ -28,16 +32,37 @@
     if (!after) {
         return makeResponse(http::status::bad_request, "text/plain", "invalid revision\n");
     }
-    const auto bytes = encodeChanges(copy.changesAfter(*after));
-    std::string body(bytes.begin(), bytes.end());
-    const bool compressed
-        = body.size() > MinCompressedBytes && request[http::field::accept_encoding] == CompressedEncoding;
-    auto response
-        = makeResponse(http::status::ok, "application/octet-stream", compressed ? compress(body) : std::move(body));
-    if (compressed) {
+    const auto &known = body(*after, request[http::field::accept_encoding] == CompressedEncoding, copy);
+    auto response = makeResponse(http::status::ok, "application/octet-stream", known.bytes);
+    if (known.compressed) {
         response.set(http::field::content_encoding, CompressedEncoding);
     }
     return response;
 }
 
+const ChangesReplies::Body &ChangesReplies::body(Revision after, bool compress, const StoreCopy &copy)
+{
+    if (copy.changeCount() != m_changeCount) {
+        m_bodies.clear();
+        m_changeCount = copy.changeCount();
+    }
+    const auto known = std::find_if(m_bodies.begin(), m_bodies.end(), [&](const Body &it) {
+        return it.after == after && (!it.compressed || compress);
+    });
+    if (known != m_bodies.end()) {
+        return *known;
+    }
+    const auto bytes = encodeChanges(copy.changesAfter(after));
+    Body body{after, false, std::string(bytes.begin(), bytes.end())};
+    if (compress && body.bytes.size() > MinCompressedBytes) {
+        body.compressed = true;
+        body.bytes = detail::compress(body.bytes);
+    }
+    ++m_encoded;
+    if (m_bodies.size() >= MaxBodies) {
+        m_bodies.pop_front();
+    }
+    return m_bodies.emplace_back(std::move(body));
+}
+
 } // namespace laburnumspar::detail
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -139,6 +139,7 @@
     std::optional<HttpServer> metricsServer;
     GroupLink link;
     StoreFollower follower;
+    ChangesReplies changesReplies;
     asio::signal_set signals;
     asio::steady_timer ticker;
     std::optional<TimePoint> stopRequestedAt;
@@ -228,7 +229,7 @@
 
     awaitable<HttpResponse> answerPeer(HttpRequest request)
     {
-        co_return answerChanges(request, follower.copy());
+        co_return changesReplies.answer(request, follower.copy());
     }
 
     void openMetrics()
--- a/src/gateway/storecopy.cpp
+++ b/src/gateway/storecopy.cpp
@@ -348,6 +348,7 @@
     const bool newer = m_serviceRegistry.applyRoutes(table);
     if (newer) {
         m_routesItem = item;
+        ++m_routesCount;
     }
     logEvent(LogLevel::Info,
              newer ? "routes.applied" : "routes.ignored",
--- a/src/gateway/storecopy.h
+++ b/src/gateway/storecopy.h
@@ -60,6 +60,11 @@
     bool applyChanges(PlatformAdapter::Page page, Revision after, TimePoint now);
     /// Applies the changes that another instance has sent, unless it has not noticed a loss of the store yet.
     void applyPull(MirrorChanges changes, TimePoint now);
+    /// Grows with each change of what changesAfter() returns.
+    std::uint64_t changeCount() const
+    {
+        return m_mirror.changeCount() + m_routesCount;
+    }
     /// Returns what an instance with a copy up to this revision needs to know.
     MirrorChanges changesAfter(Revision revision) const;
     /// Removes retained upstreams whose retention time is over.
@@ -104,6 +109,7 @@
     TimePoint m_lostAt; ///< when a loss of the store was noticed last
     std::set<std::string> m_postponed; ///< listed entries of upstreams that had left before a loss; not in use yet
     std::optional<StoreItem> m_routesItem; ///< item whose routes are in use
+    std::uint64_t m_routesCount = 0; ///< of changes of m_routesItem
     bool m_logItems = true; ///< log each changed upstream, and not only the update as a whole
 };
 
--- a/src/storemirror.cpp
+++ b/src/storemirror.cpp
@@ -30,6 +30,7 @@
     if (known.revision >= item.revision) {
         return ApplyResult::Unchanged;
     }
+    ++m_changeCount;
     m_highestRevision = std::max(m_highestRevision, item.revision);
     if (advanceRevision) {
         m_newestRevision = std::max(m_newestRevision, item.revision);
@@ -66,6 +67,7 @@
     if (it == m_items.end() || !it->second.lapsed) {
         return;
     }
+    ++m_changeCount;
     auto &item = it->second;
     item.removed = true;
     item.lapsed = false;
@@ -77,6 +79,7 @@
     if (end <= m_newestRevision) {
         return;
     }
+    ++m_changeCount;
     m_gaps.push_back({m_newestRevision, end});
     if (m_gaps.size() > MaxGaps) {
         m_gaps[1].begin = m_gaps[0].begin;
--- a/tests/storefleet.h
+++ b/tests/storefleet.h
@@ -109,7 +109,7 @@
 
     detail::awaitable<detail::HttpResponse> answer(detail::HttpRequest request)
     {
-        co_return detail::answerChanges(request, m_follower.copy());
+        co_return m_replies.answer(request, m_follower.copy());
     }
 
     detail::asio::io_context m_context{1};
@@ -120,6 +120,7 @@
     InstanceGroup m_group;
     InstanceRole m_role = InstanceRole::Standby;
     detail::StoreFollower m_follower;
+    detail::ChangesReplies m_replies;
 };
 
 /// Instances that follow one simulated store and report their state to each other.
--- a/tests/test_storecopy.cpp
+++ b/tests/test_storecopy.cpp
@@ -138,6 +138,7 @@
 
     ServiceRegistry registry;
     StoreCopy copy;
+    ChangesReplies replies;
     std::optional<StoreCopy::Listing> listing; ///< begun, with the upstreams applied
     bool reachesStore = true;
     bool reachesOthers = true;
@@ -147,10 +148,10 @@
 };
 
 /// The answer of an instance to the request for its changes after a revision.
-MirrorChanges answer(const Instance &it, Revision after)
+MirrorChanges answer(Instance &it, Revision after)
 {
     const HttpRequest request(http::verb::get, changesTarget(after), 11);
-    const auto body = answerChanges(request, it.copy).body();
+    const auto body = it.replies.answer(request, it.copy).body();
     return decodeChanges({reinterpret_cast<const std::uint8_t *>(body.data()), body.size()});
 }
 
@@ -344,7 +345,7 @@
         it.listing.reset();
     }
 
-    void pull(Instance &it, const Instance &other)
+    void pull(Instance &it, Instance &other)
     {
         if (&it == &other || !other.reachesOthers) {
             return;
@@ -514,3 +515,24 @@
     BOOST_TEST(!instance.copy.position().has_value());
     BOOST_TEST(!instance.copy.enterEra(store.era() - 1, now));
 }
+
+// Guards against encoding and compressing the same changes for each instance of a zone, which takes the processor time
+// of small machines, and against answers that are outdated.
+BOOST_FIXTURE_TEST_CASE(sameChangesAreEncodedOnce, Fixture)
+{
+    list();
+    const auto before = instance.copy.mirror().newestRevision();
+    store.put("upstreams/i-1", "ready 5");
+    readChanges();
+    for (int n = 0; n < 40; ++n) {
+        BOOST_TEST(answer(instance, before).items.size() == 1U);
+    }
+    BOOST_TEST(instance.replies.encoded() == 1U);
+    store.put("upstreams/i-2", "ready 6");
+    readChanges();
+    for (int n = 0; n < 40; ++n) {
+        BOOST_TEST(answer(instance, before).items.size() == 2U);
+        BOOST_TEST(answer(instance, {}).items.size() == 2U);
+    }
+    BOOST_TEST(instance.replies.encoded() == 3U);
+}
