store follower: an instance that is slow to answer a pull is not taken for gone

A pull that was not answered within 0.5 s marked the other instance as unresponsive. With versions of a megabyte many pulls take longer on instances of 0.1 cores, so that active instances counted as gone, a spare became active beside them and callers were sent to an instance that was busy with the same version.

Only a refused or broken connection marks the other instance now; silence is left to the timeout of its statuses, and the instance is avoided as a source as before. The timeout of a pull doubles with each one that stays unanswered, up to 4 s, for each source by itself: a fixed one never lets an answer through that takes longer, and a longer one for all delays changes that another source has.

slowPeersStayMembers failed before (no active instance left); peersThatRefusePullsAreGone keeps what was right.

--- a/src/gateway/pullsource.cpp
+++ b/src/gateway/pullsource.cpp
@@ -9,6 +9,8 @@
 
 /// Time for which an instance that did not answer a pull is asked only if no other one has newer changes.
 constexpr Milliseconds PeerAvoidance{2000};
+constexpr Milliseconds MinPullTimeout{500};
+constexpr Milliseconds MaxPullTimeout{4000};
 /// Age from which a difference between two instances is not explained by a change that is still being passed on.
 constexpr Milliseconds DifferenceTimeout{1200};
 constexpr Milliseconds MaxPeerStatusAge{700};
@@ -56,16 +58,28 @@
 void PullSource::recordAnswer(const std::string &ip, bool answered, TimePoint now)
 {
     if (answered) {
-        m_avoidedUntil.erase(ip);
-    } else {
-        m_avoidedUntil[ip] = now + PeerAvoidance;
+        m_unanswered.erase(ip);
+        return;
     }
+    auto &it = m_unanswered[ip];
+    ++it.pulls;
+    it.avoidedUntil = now + PeerAvoidance;
 }
 
 bool PullSource::isAvoided(const std::string &ip, TimePoint now) const
 {
-    const auto it = m_avoidedUntil.find(ip);
-    return it != m_avoidedUntil.end() && now < it->second;
+    const auto it = m_unanswered.find(ip);
+    return it != m_unanswered.end() && now < it->second.avoidedUntil;
+}
+
+Milliseconds PullSource::timeout(const std::string &ip) const
+{
+    const auto it = m_unanswered.find(ip);
+    auto timeout = MinPullTimeout;
+    for (unsigned n = 0; it != m_unanswered.end() && n < it->second.pulls && timeout < MaxPullTimeout; ++n) {
+        timeout *= 2;
+    }
+    return timeout;
 }
 
 /// Returns the instance with the newest changes, or null if none is newer than this one. Those that have not answered
--- a/src/gateway/pullsource.h
+++ b/src/gateway/pullsource.h
@@ -27,6 +27,9 @@
     /// changes, until some time has passed.
     void recordAnswer(const std::string &ip, bool answered, TimePoint now);
     bool isAvoided(const std::string &ip, TimePoint now) const;
+    /// Time to wait for the answer of an instance. Doubles with each unanswered pull up to a limit, so that a large
+    /// answer from a slow instance or over a slow link arrives in the end.
+    Milliseconds timeout(const std::string &ip) const;
 
 private:
     /// State of another instance's copy of the store when it was first seen to differ.
@@ -46,7 +49,12 @@
     std::vector<InstanceStatus> m_peers;
     std::map<std::string, Difference>
         m_differences; ///< by address: active instances whose copy differs but is not newer
-    std::map<std::string, TimePoint> m_avoidedUntil; ///< by address: instances that did not answer a pull
+    struct Unanswered {
+        unsigned pulls = 0; ///< in a row
+        TimePoint avoidedUntil;
+    };
+
+    std::map<std::string, Unanswered> m_unanswered; ///< by address: instances that did not answer the last pull
     std::optional<TimePoint> m_otherZoneNewerSince; ///< since when only other zones have newer changes
 };
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -19,7 +19,6 @@
 /// Longest time that the store may hold a watch request open. A connection without an answer is closed shortly after.
 constexpr Milliseconds WatchWait{700};
 constexpr Milliseconds ReadTimeout{1000};
-constexpr Milliseconds PullTimeout{500};
 /// Interval between a failed read by an active instance and the next one.
 constexpr Milliseconds ActiveRetryInterval{250};
 /// Interval between a failed read by an inactive instance that takes over and the next one. There may be many such
@@ -220,7 +219,8 @@
     HttpChannel channel(m_context, {ip, m_settings.peers.port}, CompressedEncoding);
     const auto before = m_copy.mirror().newestRevision();
     const auto begin = Clock::now();
-    auto reply = co_await channel.get(changesTarget(after), PullTimeout);
+    const auto timeout = m_source.timeout(ip);
+    auto reply = co_await channel.get(changesTarget(after), timeout);
     const auto now = Clock::now();
     const std::int64_t took = std::chrono::duration_cast<Milliseconds>(now - begin).count();
     if (reply.status != 200) {
@@ -229,7 +229,11 @@
             LogLevel::Warning,
             "group.pull-failed",
             {{"from", ip}, {"after", after.number}, {"status", reply.status}, {"error", reply.failure}, {"ms", took}});
-        m_group.markUnresponsive(ip, now);
+        // A refused or broken connection shows that the instance is gone. One that does not answer in time may only be
+        // busy with a large change; its statuses decide.
+        if (now - begin < timeout) {
+            m_group.markUnresponsive(ip, now);
+        }
         m_source.recordAnswer(ip, false, now);
         co_return false;
     }
--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -508,6 +508,54 @@
     BOOST_TEST(pullsFromSilentPeer == 1);
 }
 
+// Guards against taking an instance for gone because it is slow to answer a large pull: a spare became active beside
+// it, and callers were sent to an instance that was busy with the same change.
+BOOST_FIXTURE_TEST_CASE(slowPeersStayMembers, Fixture)
+{
+    storeUnresponsive = true;
+    auto silent = makeStatus(nearIp);
+    silent.role = InstanceRole::Active;
+    silent.storeRevision = at(50);
+    // Its status is recent whenever the role is decided, but for what the unanswered pulls say.
+    group.receiveStatus(silent, Clock::now() + 60s);
+    follower.receivePeerStatus(silent, Clock::now());
+    follower.start();
+    BOOST_TEST(runUntil([this] { return follower.failedPulls() >= 2; }));
+    BOOST_TEST(group.activeInstances("palermo", Clock::now()).size() == 1U);
+}
+
+// Guards against an instance that has ended and stays a member until its status times out.
+BOOST_FIXTURE_TEST_CASE(peersThatRefusePullsAreGone, Fixture)
+{
+    storeUnresponsive = true;
+    auto ended = makeStatus(loopbackAddress(3));
+    ended.role = InstanceRole::Active;
+    ended.storeRevision = at(50);
+    group.receiveStatus(ended, Clock::now() + 60s);
+    follower.receivePeerStatus(ended, Clock::now());
+    follower.start();
+    BOOST_TEST(runUntil([this] { return follower.failedPulls() >= 1; }));
+    BOOST_TEST(group.activeInstances("palermo", Clock::now()).empty());
+}
+
+// Guards against giving up a large answer again and again at the same time, so that it never arrives.
+BOOST_FIXTURE_TEST_CASE(timeoutsOfUnansweredPullsGrow, Fixture)
+{
+    StoreMirror mirror;
+    PullSource source(selfIp, "palermo", group, mirror);
+    const auto now = Clock::now();
+    const auto initial = source.timeout(peerIp);
+    source.recordAnswer(peerIp, false, now);
+    BOOST_TEST((source.timeout(peerIp) == 2 * initial));
+    BOOST_TEST((source.timeout(nearIp) == initial));
+    for (int n = 0; n < 100; ++n) {
+        source.recordAnswer(peerIp, false, now);
+    }
+    BOOST_TEST((source.timeout(peerIp) <= 8 * initial));
+    source.recordAnswer(peerIp, true, now);
+    BOOST_TEST((source.timeout(peerIp) == initial));
+}
+
 // Guards against an instance that reports a copy which is more recent than it is: changes between the revision of its
 // source and that of the newest item were never asked for, such as the departure of an upstream (incident inc1).
 BOOST_FIXTURE_TEST_CASE(pulledItemsDoNotAdvanceTheRevision, Fixture)
