--- a/src/routetable.cpp
+++ b/src/routetable.cpp
@@ -71,6 +71,7 @@
 
 std::shared_ptr<const RouteTable> RouteTable::Builder::build()
 {
+    m_table.m_index.reserve(m_table.m_routes.size());
     for (std::size_t n = 0; n < m_table.m_routes.size(); ++n) {
         auto &route = m_table.m_routes[n];
         if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/') {
