gateway: large versions are decoded by a worker thread and passed on as they were compressed

An instance of 0.1 cores accepted no connection while it uncompressed, decoded and applied a version of the routes, about 0.4 s with 14,000 routes, and again for each version.

A worker thread decodes replies of 32 KB or more, and the newest routes in them; the I/O thread then only compares revisions and exchanges the table. The reader of the store compresses a value there, once; it travels and is passed on in that form (message LBM3), so that no instance compresses it again when another item of the answer changes. Slices in the I/O thread were ruled out: a profile shows no single function that dominates, and JSON, DEFLATE and the table would each have to be cut.

handlersRunWhileRoutesAreDecoded failed with the decoding on the I/O thread (no other handler ran meanwhile), versionsAreAppliedFromTheNewest with the passing over switched off (25 decoded versions instead of 1); compressedValuesArePassedOn is new. test_storefollower, test_storecopy, test_storeloss and test_groupmessages pass, and 20,000 inputs of fuzz_groupmessages.

--- a/src/gateway/changesreply.cpp
+++ b/src/gateway/changesreply.cpp
@@ -15,6 +15,16 @@
 /// Instances differ in the revision that they know by one or two reads of the store.
 constexpr std::size_t MaxBodies = 4;
 
+/// Size of the values that are sent as they were compressed before.
+std::size_t compressedBytes(const MirrorChanges &changes)
+{
+    std::size_t n = 0;
+    for (const auto &it : changes.items) {
+        n += it.compressed != nullptr ? it.compressed->size() : 0;
+    }
+    return n;
+}
+
 } // namespace
 
 std::string changesTarget(Revision after)
@@ -52,9 +62,10 @@
     if (known != m_bodies.end()) {
         return *known;
     }
-    const auto bytes = encodeChanges(copy.changesAfter(after));
+    const auto changes = copy.changesAfter(after);
+    const auto bytes = encodeChanges(changes);
     Body body{after, false, std::string(bytes.begin(), bytes.end())};
-    if (compress && body.bytes.size() > MinCompressedBytes) {
+    if (compress && bytes.size() - compressedBytes(changes) > MinCompressedBytes) {
         body.compressed = true;
         body.bytes = detail::compress(body.bytes);
     }
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -1,6 +1,7 @@
 #include "gateway/groupmessages.h"
 
 #include "detail/codec.h"
+#include "gateway/compression.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -11,7 +12,7 @@
 namespace {
 
 constexpr std::uint32_t HeartbeatMagic = 0x4c424734; // "LBG4"
-constexpr std::uint32_t ChangesMagic = 0x4c424d32; // "LBM2"
+constexpr std::uint32_t ChangesMagic = 0x4c424d33; // "LBM3"
 constexpr std::size_t MaxIdLength = 255;
 constexpr unsigned MaxCount = 255;
 constexpr std::size_t MaxKeyLength = 255;
@@ -215,14 +216,21 @@
            changes.gapEnd.era,
            changes.gapEnd.number);
         saveLength(ar, changes.items.size(), MaxItems);
-        for (auto item : changes.items) {
-            ar(StringField{item.key, MaxKeyLength},
-               StringField{item.value, MaxItemBytes},
+        for (const auto &item : changes.items) {
+            auto key = item.key;
+            bool compressed = item.compressed != nullptr;
+            auto value = compressed ? *item.compressed : item.value;
+            bool removed = item.removed;
+            bool lapsed = item.lapsed;
+            bool listed = item.listed;
+            ar(StringField{key, MaxKeyLength},
+               BoolField{compressed},
+               StringField{value, MaxItemBytes},
                item.revision.era,
                item.revision.number,
-               BoolField{item.removed},
-               BoolField{item.lapsed},
-               BoolField{item.listed});
+               BoolField{removed},
+               BoolField{lapsed},
+               BoolField{listed});
         }
     });
 }
@@ -238,11 +246,17 @@
         for (std::size_t n = 0; n < length; ++n) {
             auto &item = changes.items.emplace_back();
             StringField key{item.key, MaxKeyLength};
+            bool isCompressed = false;
+            BoolField compressed{isCompressed};
             StringField value{item.value, MaxItemBytes};
             BoolField removed{item.removed};
             BoolField lapsed{item.lapsed};
             BoolField listed{item.listed};
-            ar(key, value, item.revision.era, item.revision.number, removed, lapsed, listed);
+            ar(key, compressed, value, item.revision.era, item.revision.number, removed, lapsed, listed);
+            if (isCompressed) {
+                item.compressed = std::make_shared<const std::string>(std::move(item.value));
+                item.value = uncompress(*item.compressed, MaxItemBytes);
+            }
         }
     });
     return changes;
--- a/src/gateway/storecopy.cpp
+++ b/src/gateway/storecopy.cpp
@@ -114,13 +114,24 @@
     return true;
 }
 
+StoreItem *StoreCopy::newestRoutes(std::vector<StoreItem> &items) const
+{
+    const auto newest = std::find_if(items.rbegin(), items.rend(), [this](const StoreItem &it) {
+        return it.key == m_adapter.routesPrefix && !it.removed;
+    });
+    const auto *known = m_mirror.find(m_adapter.routesPrefix);
+    const bool newer = newest != items.rend() && (known == nullptr || known->revision < newest->revision);
+    return newer ? &*newest : nullptr;
+}
+
 /// Removes the versions of the routes that a newer one among the same changes replaces. An invalid one replaces none.
 void StoreCopy::passOverOldRoutes(std::vector<StoreItem> &items) const
 {
-    const auto isVersion = [this](const StoreItem &it) { return it.key == m_adapter.routesPrefix && !it.removed; };
-    const auto newest = std::find_if(items.rbegin(), items.rend(), isVersion);
-    const auto isOlder = [&](const StoreItem &it) { return isVersion(it) && it.revision < newest->revision; };
-    const auto older = newest == items.rend() ? 0 : std::count_if(items.begin(), items.end(), isOlder);
+    auto *newest = newestRoutes(items);
+    const auto revision = newest != nullptr ? newest->revision : Revision();
+    const auto isOlder
+        = [&](const StoreItem &it) { return it.key == m_adapter.routesPrefix && it.revision < revision; };
+    const auto older = std::count_if(items.begin(), items.end(), isOlder);
     if (older == 0) {
         return;
     }
@@ -128,9 +139,8 @@
         decodeRoutes(*newest);
     }
     if (newest->routes != nullptr) {
-        logEvent(LogLevel::Info, "routes.passed-over", {{"versions", older}, {"revision", newest->revision.number}});
-        const auto revision = newest->revision;
-        std::erase_if(items, [&](const StoreItem &it) { return isVersion(it) && it.revision < revision; });
+        logEvent(LogLevel::Info, "routes.passed-over", {{"versions", older}, {"revision", revision.number}});
+        std::erase_if(items, isOlder);
     }
 }
 
--- a/src/gateway/storecopy.h
+++ b/src/gateway/storecopy.h
@@ -51,6 +51,9 @@
     /// Records the era in which the store has answered. After a loss, it has to be listed. Returns false if the answer
     /// is older than what is known.
     bool enterEra(std::uint64_t era, TimePoint now);
+    /// Returns the newest version of the routes among the items; null if it is known already or there is none. Its
+    /// decoded and compressed value may be set before the items are applied.
+    StoreItem *newestRoutes(std::vector<StoreItem> &items) const;
     /// Applies a page of a list, which is complete only with the last one. Returns false if the store has lost changes
     /// since the first page, so that the list cannot be completed.
     bool applyPage(PlatformAdapter::Page page, Listing &listing, TimePoint now);
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -43,6 +43,8 @@
 /// requests.
 constexpr Milliseconds FleetStartPeerTimeout{3500};
 constexpr std::size_t MaxPullBytes = 64 << 20;
+/// Larger messages and values are decoded by the worker thread; for others the change of threads costs more.
+constexpr std::size_t MinWorkerBytes = 32 << 10;
 
 Milliseconds choosePeerTimeout(const GatewaySettings &settings)
 {
@@ -59,6 +61,32 @@
     return std::max(delay, MinPeerTimeout);
 }
 
+MirrorChanges decodePull(const ChannelReply &reply)
+{
+    const auto body = reply.headers[http::field::content_encoding] == CompressedEncoding
+        ? uncompress(reply.body, MaxPullBytes)
+        : reply.body;
+    return decodeChanges({reinterpret_cast<const std::uint8_t *>(body.data()), body.size()});
+}
+
+/// Sets the decoded and the compressed value of the routes. Leaves an invalid value as it is.
+StoreItem prepareItem(const PlatformAdapter &adapter, StoreItem item)
+{
+    try {
+        auto decoded = adapter.decodeItem(item);
+        if (auto *table = std::get_if<std::shared_ptr<const RouteTable>>(&decoded)) {
+            item.routes = std::move(*table);
+        }
+        if (item.compressed == nullptr) {
+            item.compressed = std::make_shared<const std::string>(compress(item.value));
+        }
+    } catch (const Error &) {
+        // The error is logged when the item is applied.
+        item.routes.reset();
+    }
+    return item;
+}
+
 /// The process was paused, or had no processor time, if it did nothing for longer. Both tasks together do something
 /// more often.
 constexpr Milliseconds MaxInactivity{1000};
@@ -239,10 +267,15 @@
     }
     m_source.recordAnswer(ip, true, now);
     try {
-        const auto body = reply.headers[http::field::content_encoding] == CompressedEncoding
-            ? uncompress(reply.body, MaxPullBytes)
-            : std::move(reply.body);
-        auto changes = decodeChanges({reinterpret_cast<const std::uint8_t *>(body.data()), body.size()});
+        const auto bytes = reply.body.size();
+        const auto decode = [&reply] { return decodePull(reply); };
+        MirrorChanges changes;
+        if (bytes < MinWorkerBytes) {
+            changes = decode();
+        } else {
+            changes = co_await m_worker.run(decode);
+        }
+        co_await prepareRoutes(changes.items);
         logEvent(LogLevel::Info,
                  "group.pulled",
                  {{"from", ip},
@@ -250,10 +283,10 @@
                   {"era", changes.revision.era},
                   {"revision", changes.revision.number},
                   {"items", changes.items.size()},
-                  {"bytes", body.size()},
+                  {"bytes", bytes},
                   {"ms", took}});
         ++m_pulls;
-        m_copy.applyPull(std::move(changes), now);
+        m_copy.applyPull(std::move(changes), Clock::now());
     } catch (const DecodeError &e) {
         logEvent(LogLevel::Error, "group.pull-rejected", {{"from", ip}, {"error", e.what()}});
         co_return false;
@@ -264,6 +297,16 @@
     co_return m_copy.mirror().newestRevision() > before;
 }
 
+awaitable<void> StoreFollower::prepareRoutes(std::vector<StoreItem> &items)
+{
+    auto *routes = m_copy.newestRoutes(items);
+    if (routes != nullptr && routes->value.size() >= MinWorkerBytes) {
+        const auto prepare = [this, routes] { return prepareItem(m_adapter, *routes); };
+        auto prepared = co_await m_worker.run(prepare);
+        *routes = std::move(prepared);
+    }
+}
+
 awaitable<void> StoreFollower::readStore()
 {
     const auto before = m_copy.mirror().newestRevision();
@@ -342,8 +385,16 @@
         co_return std::nullopt;
     }
     try {
-        auto page = changes ? m_adapter.decodeChanges(reply.body, *era) : m_adapter.decodePage(reply.body, *era);
+        const auto &decode = changes ? m_adapter.decodeChanges : m_adapter.decodePage;
+        const auto decodeReply = [&] { return decode(reply.body, *era); };
+        PlatformAdapter::Page page;
+        if (reply.body.size() < MinWorkerBytes) {
+            page = decodeReply();
+        } else {
+            page = co_await m_worker.run(decodeReply);
+        }
         recordStoreAnswer(now);
+        co_await prepareRoutes(page.items);
         co_return page;
     } catch (const DecodeError &e) {
         recordStoreFailure(e.what(), now);
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/backgroundworker.h"
 #include "gateway/httpchannel.h"
 #include "gateway/pullsource.h"
 #include "gateway/storecopy.h"
@@ -82,6 +83,9 @@
     queryStore(const std::string &target, Milliseconds timeout, bool changes);
     /// Pulls the changes after a revision, or all items if `after` is empty. Returns true if there were new ones.
     awaitable<bool> pullFromPeer(const std::string &ip, Revision after);
+    /// Decodes and compresses the newest version of the routes among the items, if it is large, before they are
+    /// applied.
+    awaitable<void> prepareRoutes(std::vector<StoreItem> &items);
     bool peerTimeoutExpired(TimePoint now) const;
     std::optional<std::uint64_t> enterEra(const ChannelReply &reply, TimePoint now);
     void recordStoreAnswer(TimePoint now);
@@ -104,6 +108,7 @@
     asio::steady_timer m_peerTimer;
     StoreCopy m_copy;
     PullSource m_source;
+    BackgroundWorker m_worker;
     std::optional<TimePoint> m_lastStoreAnswer;
     std::optional<TimePoint> m_storeFailedSince;
     std::optional<TimePoint> m_lastFleetAnswer; ///< when the store last answered any instance
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -1,5 +1,6 @@
 #include "gateway/groupmessages.h"
 
+#include "gateway/compression.h"
 #include "laburnumspar/errors.h"
 
 #include <boost/test/unit_test.hpp>
@@ -90,3 +91,20 @@
     const auto bytes = encodeChanges(changes);
     BOOST_CHECK_THROW(decodeChanges({bytes.data(), bytes.size() - 1}), DecodeError);
 }
+
+// Guards against compressing a large value again on each instance that passes it on.
+BOOST_AUTO_TEST_CASE(compressedValuesArePassedOn)
+{
+    const std::string value(100'000, 'x');
+    MirrorChanges changes{{2, 17}, {{"routes", value, {2, 16}, false}}};
+    changes.items[0].compressed = std::make_shared<const std::string>(compress(value));
+    const auto bytes = encodeChanges(changes);
+    BOOST_TEST(bytes.size() < value.size() / 10);
+    const auto decoded = decodeChanges(bytes);
+    BOOST_REQUIRE(decoded.items.size() == 1U);
+    BOOST_TEST(decoded.items[0].value == value);
+    BOOST_REQUIRE(decoded.items[0].compressed != nullptr);
+    BOOST_TEST(*decoded.items[0].compressed == *changes.items[0].compressed);
+    changes.items[0].compressed = std::make_shared<const std::string>("invalid");
+    BOOST_CHECK_THROW(decodeChanges(encodeChanges(changes)), DecodeError);
+}
--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <future>
 #include <thread>
 
 using namespace laburnumspar;
@@ -508,6 +510,49 @@
     BOOST_TEST(pullsFromSilentPeer == 1);
 }
 
+// Guards against decoding a large version in the thread that accepts connections: an instance of 0.1 cores accepted
+// none for a third of a second with each version.
+BOOST_FIXTURE_TEST_CASE(handlersRunWhileRoutesAreDecoded, Fixture)
+{
+    storeUnresponsive = true;
+    const auto decodeItem = adapter.decodeItem;
+    std::atomic<unsigned> decodedTogether{0};
+    std::atomic<unsigned> decoded{0};
+    adapter.decodeItem = [&](const StoreItem &item) {
+        if (item.key == adapter.routesPrefix) {
+            const auto handled = std::make_shared<std::promise<void>>();
+            asio::post(context, [handled] { handled->set_value(); });
+            decodedTogether += handled->get_future().wait_for(10s) == std::future_status::ready ? 1 : 0;
+            ++decoded;
+        }
+        return decodeItem(item);
+    };
+    std::string rows;
+    for (int n = 0; n < 2000; ++n) {
+        rows += (n > 0 ? "," : "") + std::string(R"(["n","h.example","/p)") + std::to_string(n) + R"(/","safe","s1"])";
+    }
+    peerItems = {{"op/config",
+                  R"({"version":"r7","services":{"columns":["name"],"rows":[["s1"]]},"routes":{"columns":)"
+                  R"(["name","host","prefix","kind","service"],"rows":[)"
+                      + rows + "]}}",
+                  at(50),
+                  false}};
+    follower.start();
+    auto status = makeStatus(peerIp);
+    status.storeRevision = at(50);
+    status.role = InstanceRole::Active;
+    group.receiveStatus(status, Clock::now());
+    follower.receivePeerStatus(status, Clock::now());
+    BOOST_TEST(runUntil([this] { return serviceRegistry.routes() != nullptr; }));
+    BOOST_TEST(serviceRegistry.routes()->routes().size() == 2000U);
+    BOOST_TEST(decoded == 1U);
+    BOOST_TEST(decodedTogether == 1U);
+    // The other instances receive it as it was compressed here.
+    const auto *item = follower.mirror().find("op/config");
+    BOOST_REQUIRE(item != nullptr);
+    BOOST_TEST(item->compressed != nullptr);
+}
+
 // Guards against taking an instance for gone because it is slow to answer a large pull: a spare became active beside
 // it, and callers were sent to an instance that was busy with the same change.
 BOOST_FIXTURE_TEST_CASE(slowPeersStayMembers, Fixture)
