--- a/include/laburnumspar/storemirror.h
+++ b/include/laburnumspar/storemirror.h
@@ -5,11 +5,14 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 namespace laburnumspar {
 
+class RouteTable;
+
 /// One item of the operators' store at a revision, or its removal.
 struct StoreItem {
     std::string key;
@@ -20,6 +23,8 @@
     Revision createdRevision{}; ///< of its creation; empty if unknown
     bool lapsed = false; ///< removed from the store, but retained because the upstream may only have to register again
     bool listed = false; ///< from a list: after a loss of the store, it may show an earlier state than its era suggests
+    std::shared_ptr<const RouteTable> routes{}; ///< decoded value, if these are routes that have been decoded
+    std::shared_ptr<const std::string> compressed{}; ///< compressed value, if it has been compressed
 };
 
 /// Copy of the parts of the operators' store that instances replicate to each other. For each key the newest revision
@@ -39,6 +44,7 @@
     /// Records that the mirror contains all changes up to this revision.
     void markCompleteUpTo(Revision revision)
     {
+        m_changeCount += revision > m_newestRevision ? 1 : 0;
         m_newestRevision = std::max(m_newestRevision, revision);
     }
     /// Newest revision that is known to be in the mirror; reported to the other instances.
@@ -58,6 +64,11 @@
     {
         return m_digest;
     }
+    /// Grows with each change of the items or of what is known about them.
+    std::uint64_t changeCount() const
+    {
+        return m_changeCount;
+    }
     bool empty() const
     {
         return m_items.empty();
@@ -93,6 +104,7 @@
     Revision m_highestRevision; ///< of all items
     std::vector<Gap> m_gaps; ///< the oldest first
     std::uint32_t m_digest = 0;
+    std::uint64_t m_changeCount = 0;
 };
 
 } // namespace laburnumspar
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -141,6 +141,7 @@
     std::optional<HttpServer> metricsServer;
     GroupLink link;
     StoreFollower follower;
+    ChangesReplies changesReplies;
     asio::signal_set signals;
     asio::steady_timer ticker;
     std::optional<TimePoint> stopRequestedAt;
@@ -232,7 +233,7 @@
 
     awaitable<HttpResponse> answerPeer(HttpRequest request)
     {
-        co_return answerChanges(request, follower.copy());
+        co_return changesReplies.answer(request, follower.copy());
     }
 
     void openMetrics()
--- a/src/gateway/pullsource.cpp
+++ b/src/gateway/pullsource.cpp
@@ -11,6 +11,8 @@
 constexpr Milliseconds PeerAvoidance{2000};
 /// Time for which an instance whose answer was unusable is not asked. The same answer is likely to come back.
 constexpr Milliseconds RejectionTime{2000};
+constexpr Milliseconds MinPullTimeout{500};
+constexpr Milliseconds MaxPullTimeout{4000};
 /// Age from which a difference between two instances is not explained by a change that is still being passed on.
 constexpr Milliseconds DifferenceTimeout{1200};
 constexpr Milliseconds MaxPeerStatusAge{700};
@@ -58,11 +60,13 @@
 void PullSource::recordAnswer(const std::string &ip, bool answered, TimePoint now)
 {
     if (answered) {
-        m_avoidedUntil.erase(ip);
+        m_unanswered.erase(ip);
         m_rejectedUntil.erase(ip);
-    } else {
-        m_avoidedUntil[ip] = now + PeerAvoidance;
+        return;
     }
+    auto &it = m_unanswered[ip];
+    ++it.pulls;
+    it.avoidedUntil = now + PeerAvoidance;
 }
 
 void PullSource::recordRejection(const std::string &ip, TimePoint now)
@@ -72,8 +76,8 @@
 
 bool PullSource::isAvoided(const std::string &ip, TimePoint now) const
 {
-    const auto it = m_avoidedUntil.find(ip);
-    return (it != m_avoidedUntil.end() && now < it->second) || isRejected(ip, now);
+    const auto it = m_unanswered.find(ip);
+    return (it != m_unanswered.end() && now < it->second.avoidedUntil) || isRejected(ip, now);
 }
 
 bool PullSource::isRejected(const std::string &ip, TimePoint now) const
@@ -82,6 +86,16 @@
     return it != m_rejectedUntil.end() && now < it->second;
 }
 
+Milliseconds PullSource::timeout(const std::string &ip) const
+{
+    const auto it = m_unanswered.find(ip);
+    auto timeout = MinPullTimeout;
+    for (unsigned n = 0; it != m_unanswered.end() && n < it->second.pulls && timeout < MaxPullTimeout; ++n) {
+        timeout *= 2;
+    }
+    return timeout;
+}
+
 /// Returns the instance with the newest changes, or null if none is newer than this one. Those that have not answered
 /// lately come last. Among equals, prefers those of the own zone.
 const InstanceStatus *PullSource::newest(bool ownZoneOnly, TimePoint now) const
--- a/src/gateway/pullsource.h
+++ b/src/gateway/pullsource.h
@@ -30,6 +30,9 @@
     /// passed, also if no other one has newer changes.
     void recordRejection(const std::string &ip, TimePoint now);
     bool isAvoided(const std::string &ip, TimePoint now) const;
+    /// Time to wait for the answer of an instance. Doubles with each unanswered pull up to a limit, so that a large
+    /// answer from a slow instance or over a slow link arrives in the end.
+    Milliseconds timeout(const std::string &ip) const;
 
 private:
     /// State of another instance's copy of the store when it was first seen to differ.
@@ -50,7 +53,12 @@
     std::vector<InstanceStatus> m_peers;
     std::map<std::string, Difference>
         m_differences; ///< by address: active instances whose copy differs but is not newer
-    std::map<std::string, TimePoint> m_avoidedUntil; ///< by address: instances that did not answer a pull
+    struct Unanswered {
+        unsigned pulls = 0; ///< in a row
+        TimePoint avoidedUntil;
+    };
+
+    std::map<std::string, Unanswered> m_unanswered; ///< by address: instances that did not answer the last pull
     std::map<std::string, TimePoint> m_rejectedUntil; ///< by address: instances whose answers were unusable
     std::optional<TimePoint> m_otherZoneNewerSince; ///< since when only other zones have newer changes
 };
--- a/src/gateway/storecopy.cpp
+++ b/src/gateway/storecopy.cpp
@@ -106,6 +106,7 @@
     if (page.revision.era != after.era || page.revision.era != m_era) {
         return false;
     }
+    passOverOldRoutes(page.items);
     for (auto &item : page.items) {
         applyItem(std::move(item), ItemSource::Changes, now);
     }
@@ -113,6 +114,44 @@
     return true;
 }
 
+StoreItem *StoreCopy::newestRoutes(std::vector<StoreItem> &items) const
+{
+    const auto newest = std::find_if(items.rbegin(), items.rend(), [this](const StoreItem &it) {
+        return it.key == m_adapter.routesPrefix && !it.removed;
+    });
+    const auto *known = m_mirror.find(m_adapter.routesPrefix);
+    const bool newer = newest != items.rend() && (known == nullptr || known->revision < newest->revision);
+    return newer ? &*newest : nullptr;
+}
+
+/// Removes the versions of the routes that a newer one among the same changes replaces. An invalid one replaces none.
+void StoreCopy::passOverOldRoutes(std::vector<StoreItem> &items) const
+{
+    auto *newest = newestRoutes(items);
+    const auto revision = newest != nullptr ? newest->revision : Revision();
+    const auto isOlder
+        = [&](const StoreItem &it) { return it.key == m_adapter.routesPrefix && it.revision < revision; };
+    const auto older = std::count_if(items.begin(), items.end(), isOlder);
+    if (older == 0) {
+        return;
+    }
+    if (newest->routes == nullptr) {
+        decodeRoutes(*newest);
+    }
+    if (newest->routes != nullptr) {
+        logEvent(LogLevel::Info, "routes.passed-over", {{"versions", older}, {"revision", revision.number}});
+        std::erase_if(items, isOlder);
+    }
+}
+
+void StoreCopy::decodeRoutes(StoreItem &item) const
+{
+    const auto decoded = decode(item);
+    if (const auto *table = decoded ? std::get_if<std::shared_ptr<const RouteTable>>(&*decoded) : nullptr) {
+        item.routes = *table;
+    }
+}
+
 void StoreCopy::applyPull(MirrorChanges changes, TimePoint now)
 {
     const auto before = m_mirror.newestRevision();
@@ -289,6 +328,9 @@
 /// Returns no value if the item is invalid.
 std::optional<DecodedStoreItem> StoreCopy::decode(const StoreItem &item) const
 {
+    if (item.routes != nullptr) {
+        return item.routes;
+    }
     try {
         return m_adapter.decodeItem(item);
     } catch (const Error &e) {
@@ -348,6 +390,7 @@
     const bool newer = m_serviceRegistry.applyRoutes(table);
     if (newer) {
         m_routesItem = item;
+        ++m_routesCount;
     }
     logEvent(LogLevel::Info,
              newer ? "routes.applied" : "routes.ignored",
--- a/src/gateway/storecopy.h
+++ b/src/gateway/storecopy.h
@@ -51,6 +51,9 @@
     /// Records the era in which the store has answered. After a loss, it has to be listed. Returns false if the answer
     /// is older than what is known.
     bool enterEra(std::uint64_t era, TimePoint now);
+    /// Returns the newest version of the routes among the items; null if it is known already or there is none. Its
+    /// decoded and compressed value may be set before the items are applied.
+    StoreItem *newestRoutes(std::vector<StoreItem> &items) const;
     /// Applies a page of a list, which is complete only with the last one. Returns false if the store has lost changes
     /// since the first page, so that the list cannot be completed.
     bool applyPage(PlatformAdapter::Page page, Listing &listing, TimePoint now);
@@ -60,6 +63,11 @@
     bool applyChanges(PlatformAdapter::Page page, Revision after, TimePoint now);
     /// Applies the changes that another instance has sent, unless it has not noticed a loss of the store yet.
     void applyPull(MirrorChanges changes, TimePoint now);
+    /// Grows with each change of what changesAfter() returns.
+    std::uint64_t changeCount() const
+    {
+        return m_mirror.changeCount() + m_routesCount;
+    }
     /// Returns what an instance with a copy up to this revision needs to know.
     MirrorChanges changesAfter(Revision revision) const;
     /// Removes retained upstreams whose retention time is over.
@@ -80,6 +88,8 @@
         Changes, ///< the changes of the store
     };
 
+    void passOverOldRoutes(std::vector<StoreItem> &items) const;
+    void decodeRoutes(StoreItem &item) const;
     void applyItem(StoreItem item, ItemSource source, TimePoint now);
     void applyRemoval(StoreItem item, ItemSource source, TimePoint now);
     std::optional<DecodedStoreItem> decode(const StoreItem &item) const;
@@ -104,6 +114,7 @@
     TimePoint m_lostAt; ///< when a loss of the store was noticed last
     std::set<std::string> m_postponed; ///< listed entries of upstreams that had left before a loss; not in use yet
     std::optional<StoreItem> m_routesItem; ///< item whose routes are in use
+    std::uint64_t m_routesCount = 0; ///< of changes of m_routesItem
     bool m_logItems = true; ///< log each changed upstream, and not only the update as a whole
 };
 
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -19,7 +19,6 @@
 /// Longest time that the store may hold a watch request open. A connection without an answer is closed shortly after.
 constexpr Milliseconds WatchWait{700};
 constexpr Milliseconds ReadTimeout{1000};
-constexpr Milliseconds PullTimeout{500};
 /// Interval between a failed read by an active instance and the next one.
 constexpr Milliseconds ActiveRetryInterval{250};
 /// Interval between a failed read by an inactive instance that takes over and the next one. There may be many such
@@ -47,6 +46,8 @@
 /// requests.
 constexpr Milliseconds FleetStartPeerTimeout{3500};
 constexpr std::size_t MaxPullBytes = 64 << 20;
+/// Larger messages and values are decoded by the worker thread; for others the change of threads costs more.
+constexpr std::size_t MinWorkerBytes = 32 << 10;
 
 Milliseconds choosePeerTimeout(const GatewaySettings &settings)
 {
@@ -63,6 +64,32 @@
     return std::max(delay, MinPeerTimeout);
 }
 
+MirrorChanges decodePull(const ChannelReply &reply)
+{
+    const auto body = reply.headers[http::field::content_encoding] == CompressedEncoding
+        ? uncompress(reply.body, MaxPullBytes)
+        : reply.body;
+    return decodeChanges({reinterpret_cast<const std::uint8_t *>(body.data()), body.size()});
+}
+
+/// Sets the decoded and the compressed value of the routes. Leaves an invalid value as it is.
+StoreItem prepareItem(const PlatformAdapter &adapter, StoreItem item)
+{
+    try {
+        auto decoded = adapter.decodeItem(item);
+        if (auto *table = std::get_if<std::shared_ptr<const RouteTable>>(&decoded)) {
+            item.routes = std::move(*table);
+        }
+        if (item.compressed == nullptr) {
+            item.compressed = std::make_shared<const std::string>(compress(item.value));
+        }
+    } catch (const Error &) {
+        // The error is logged when the item is applied.
+        item.routes.reset();
+    }
+    return item;
+}
+
 /// The process was paused, or had no processor time, if it did nothing for longer. Both tasks together do something
 /// more often.
 constexpr Milliseconds MaxInactivity{1000};
@@ -236,7 +263,8 @@
     HttpChannel channel(m_context, {ip, m_settings.peers.port}, CompressedEncoding);
     const auto before = m_copy.mirror().newestRevision();
     const auto begin = Clock::now();
-    auto reply = co_await channel.get(changesTarget(after), PullTimeout);
+    const auto timeout = m_source.timeout(ip);
+    auto reply = co_await channel.get(changesTarget(after), timeout);
     const auto now = Clock::now();
     const std::int64_t took = std::chrono::duration_cast<Milliseconds>(now - begin).count();
     const auto failure = reply.status == 0 ? reply.failure : statusFailure(reply.status);
@@ -250,16 +278,25 @@
             LogLevel::Warning,
             "group.pull-failed",
             {{"from", ip}, {"after", after.number}, {"status", reply.status}, {"error", reply.error}, {"ms", took}});
-        m_group.markUnresponsive(ip, now);
+        // A refused or broken connection shows that the instance is gone. One that does not answer in time may only be
+        // busy with a large change; its statuses decide.
+        if (now - begin < timeout) {
+            m_group.markUnresponsive(ip, now);
+        }
         m_source.recordAnswer(ip, false, now);
         co_return false;
     }
     m_source.recordAnswer(ip, true, now);
     try {
-        const auto body = reply.headers[http::field::content_encoding] == CompressedEncoding
-            ? uncompress(reply.body, MaxPullBytes)
-            : std::move(reply.body);
-        auto changes = decodeChanges({reinterpret_cast<const std::uint8_t *>(body.data()), body.size()});
+        const auto bytes = reply.body.size();
+        const auto decode = [&reply] { return decodePull(reply); };
+        MirrorChanges changes;
+        if (bytes < MinWorkerBytes) {
+            changes = decode();
+        } else {
+            changes = co_await m_worker.run(decode);
+        }
+        co_await prepareRoutes(changes.items);
         logEvent(LogLevel::Info,
                  "group.pulled",
                  {{"from", ip},
@@ -267,10 +304,10 @@
                   {"era", changes.revision.era},
                   {"revision", changes.revision.number},
                   {"items", changes.items.size()},
-                  {"bytes", body.size()},
+                  {"bytes", bytes},
                   {"ms", took}});
         ++m_pulls;
-        m_copy.applyPull(std::move(changes), now);
+        m_copy.applyPull(std::move(changes), Clock::now());
     } catch (const DecodeError &e) {
         rejectPull(ip, ReplyFailure::Malformed, e.what(), now);
         co_return false;
@@ -291,6 +328,16 @@
     wake();
 }
 
+awaitable<void> StoreFollower::prepareRoutes(std::vector<StoreItem> &items)
+{
+    auto *routes = m_copy.newestRoutes(items);
+    if (routes != nullptr && routes->value.size() >= MinWorkerBytes) {
+        const auto prepare = [this, routes] { return prepareItem(m_adapter, *routes); };
+        auto prepared = co_await m_worker.run(prepare);
+        *routes = std::move(prepared);
+    }
+}
+
 awaitable<void> StoreFollower::readStore()
 {
     const auto before = m_copy.mirror().newestRevision();
@@ -375,29 +422,36 @@
     if (reply.status != 200 && !isHistoryGone(reply, query)) {
         co_return rejectReply(query, statusFailure(reply.status), "HTTP status " + std::to_string(reply.status), now);
     }
-    co_return decodeReply(reply, query, now);
+    co_return co_await decodeReply(reply, query, now);
 }
 
-StoreFollower::QueryResult StoreFollower::decodeReply(const ChannelReply &reply, Query query, TimePoint now)
+awaitable<StoreFollower::QueryResult> StoreFollower::decodeReply(const ChannelReply &reply, Query query, TimePoint now)
 {
     try {
         const auto era = enterEra(reply, now);
         if (!era) {
-            return rejectReply(query, ReplyFailure::Unavailable, "the answer is from an earlier era", now);
+            co_return rejectReply(query, ReplyFailure::Unavailable, "the answer is from an earlier era", now);
         }
         if (isHistoryGone(reply, query)) {
             logEvent(
                 LogLevel::Warning, "store.history-gone", {{"after", m_copy.position().value_or(Revision()).number}});
             recordStoreAnswer(now);
             m_copy.forgetPosition();
-            return {std::nullopt, ReplyFailure::Unavailable};
+            co_return QueryResult{std::nullopt, ReplyFailure::Unavailable};
+        }
+        const auto &decode = query == Query::Changes ? m_adapter.decodeChanges : m_adapter.decodePage;
+        const auto decodeBody = [&] { return decode(reply.body, *era); };
+        PlatformAdapter::Page page;
+        if (reply.body.size() < MinWorkerBytes) {
+            page = decodeBody();
+        } else {
+            page = co_await m_worker.run(decodeBody);
         }
-        auto page = query == Query::Changes ? m_adapter.decodeChanges(reply.body, *era)
-                                            : m_adapter.decodePage(reply.body, *era);
         recordStoreAnswer(now);
-        return {std::move(page), ReplyFailure::None};
+        co_await prepareRoutes(page.items);
+        co_return QueryResult{std::move(page), ReplyFailure::None};
     } catch (const DecodeError &e) {
-        return rejectReply(query, ReplyFailure::Malformed, e.what(), now);
+        co_return rejectReply(query, ReplyFailure::Malformed, e.what(), now);
     }
 }
 
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/backgroundworker.h"
 #include "gateway/httpchannel.h"
 #include "gateway/listingpace.h"
 #include "gateway/pullsource.h"
@@ -100,7 +101,7 @@
     awaitable<bool> readChanges();
     awaitable<QueryResult> queryStore(const std::string &target, Milliseconds timeout, Query query);
     /// Decodes a reply with status 200, or 410 for changes that the store no longer has.
-    QueryResult decodeReply(const ChannelReply &reply, Query query, TimePoint now);
+    awaitable<QueryResult> decodeReply(const ChannelReply &reply, Query query, TimePoint now);
     static bool isHistoryGone(const ChannelReply &reply, Query query);
     /// Records a reply that is not usable. One that would come back leads to a listing of the store.
     QueryResult rejectReply(Query query, ReplyFailure failure, const std::string &error, TimePoint now);
@@ -108,6 +109,9 @@
     awaitable<bool> pullFromPeer(const std::string &ip, Revision after);
     /// Records the answer of another instance that would come back, and reads the store in its place.
     void rejectPull(const std::string &ip, ReplyFailure failure, const std::string &error, TimePoint now);
+    /// Decodes and compresses the newest version of the routes among the items, if it is large, before they are
+    /// applied.
+    awaitable<void> prepareRoutes(std::vector<StoreItem> &items);
     bool peerTimeoutExpired(TimePoint now) const;
     bool shallReadStore(TimePoint now) const;
     Milliseconds nextStoreDelay(TimePoint now) const;
@@ -134,6 +138,7 @@
     PullSource m_source;
     ListingPace m_listingPace;
     TimePoint m_ownReadsUntil; ///< until then, the store is read because pulls were not usable
+    BackgroundWorker m_worker;
     std::optional<TimePoint> m_lastStoreAnswer;
     std::optional<TimePoint> m_storeFailedSince;
     std::optional<TimePoint> m_lastFleetAnswer; ///< when the store last answered any instance
--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <future>
 #include <thread>
 
 using namespace laburnumspar;
@@ -508,6 +510,97 @@
     BOOST_TEST(pullsFromSilentPeer == 1);
 }
 
+// Guards against decoding a large version in the thread that accepts connections: an instance of 0.1 cores accepted
+// none for a third of a second with each version.
+BOOST_FIXTURE_TEST_CASE(handlersRunWhileRoutesAreDecoded, Fixture)
+{
+    storeUnresponsive = true;
+    const auto decodeItem = adapter.decodeItem;
+    std::atomic<unsigned> decodedTogether{0};
+    std::atomic<unsigned> decoded{0};
+    adapter.decodeItem = [&](const StoreItem &item) {
+        if (item.key == adapter.routesPrefix) {
+            const auto handled = std::make_shared<std::promise<void>>();
+            asio::post(context, [handled] { handled->set_value(); });
+            decodedTogether += handled->get_future().wait_for(10s) == std::future_status::ready ? 1 : 0;
+            ++decoded;
+        }
+        return decodeItem(item);
+    };
+    std::string rows;
+    for (int n = 0; n < 2000; ++n) {
+        rows += (n > 0 ? "," : "") + std::string(R"(["n","h.example","/p)") + std::to_string(n) + R"(/","safe","s1"])";
+    }
+    peerItems = {{"op/config",
+                  R"({"version":"r7","services":{"columns":["name"],"rows":[["s1"]]},"routes":{"columns":)"
+                  R"(["name","host","prefix","kind","service"],"rows":[)"
+                      + rows + "]}}",
+                  at(50),
+                  false}};
+    follower.start();
+    auto status = makeStatus(peerIp);
+    status.storeRevision = at(50);
+    status.role = InstanceRole::Active;
+    group.receiveStatus(status, Clock::now());
+    follower.receivePeerStatus(status, Clock::now());
+    BOOST_TEST(runUntil([this] { return serviceRegistry.routes() != nullptr; }));
+    BOOST_TEST(serviceRegistry.routes()->routes().size() == 2000U);
+    BOOST_TEST(decoded == 1U);
+    BOOST_TEST(decodedTogether == 1U);
+    // The other instances receive it as it was compressed here.
+    const auto *item = follower.mirror().find("op/config");
+    BOOST_REQUIRE(item != nullptr);
+    BOOST_TEST(item->compressed != nullptr);
+}
+
+// Guards against taking an instance for gone because it is slow to answer a large pull: a spare became active beside
+// it, and callers were sent to an instance that was busy with the same change.
+BOOST_FIXTURE_TEST_CASE(slowPeersStayMembers, Fixture)
+{
+    storeUnresponsive = true;
+    auto silent = makeStatus(nearIp);
+    silent.role = InstanceRole::Active;
+    silent.storeRevision = at(50);
+    // Its status is recent whenever the role is decided, but for what the unanswered pulls say.
+    group.receiveStatus(silent, Clock::now() + 60s);
+    follower.receivePeerStatus(silent, Clock::now());
+    follower.start();
+    BOOST_TEST(runUntil([this] { return follower.failedPulls() >= 2; }));
+    BOOST_TEST(group.activeInstances("palermo", Clock::now()).size() == 1U);
+}
+
+// Guards against an instance that has ended and stays a member until its status times out.
+BOOST_FIXTURE_TEST_CASE(peersThatRefusePullsAreGone, Fixture)
+{
+    storeUnresponsive = true;
+    auto ended = makeStatus(loopbackAddress(3));
+    ended.role = InstanceRole::Active;
+    ended.storeRevision = at(50);
+    group.receiveStatus(ended, Clock::now() + 60s);
+    follower.receivePeerStatus(ended, Clock::now());
+    follower.start();
+    BOOST_TEST(runUntil([this] { return follower.failedPulls() >= 1; }));
+    BOOST_TEST(group.activeInstances("palermo", Clock::now()).empty());
+}
+
+// Guards against giving up a large answer again and again at the same time, so that it never arrives.
+BOOST_FIXTURE_TEST_CASE(timeoutsOfUnansweredPullsGrow, Fixture)
+{
+    StoreMirror mirror;
+    PullSource source(selfIp, "palermo", group, mirror);
+    const auto now = Clock::now();
+    const auto initial = source.timeout(peerIp);
+    source.recordAnswer(peerIp, false, now);
+    BOOST_TEST((source.timeout(peerIp) == 2 * initial));
+    BOOST_TEST((source.timeout(nearIp) == initial));
+    for (int n = 0; n < 100; ++n) {
+        source.recordAnswer(peerIp, false, now);
+    }
+    BOOST_TEST((source.timeout(peerIp) <= 8 * initial));
+    source.recordAnswer(peerIp, true, now);
+    BOOST_TEST((source.timeout(peerIp) == initial));
+}
+
 // Guards against an instance that reports a copy which is more recent than it is: changes between the revision of its
 // source and that of the newest item were never asked for, such as the departure of an upstream (incident inc1).
 BOOST_FIXTURE_TEST_CASE(pulledItemsDoNotAdvanceTheRevision, Fixture)
