--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -119,7 +119,7 @@
 bool CallerSession::hasRequest() const
 {
     return m_phase == Phase::Reading || m_phase == Phase::Waiting || m_phase == Phase::Writing
-        || (m_phase == Phase::Idle && hasUnreadData());
+        || m_phase == Phase::Draining || (m_phase == Phase::Idle && hasUnreadData());
 }
 
 bool CallerSession::hasUnreadData() const
@@ -348,13 +348,18 @@
     m_parser.reset();
     m_keepAlive = message.keep_alive();
     m_headOnly = message.method() == http::verb::head;
+    const auto id = message[m_sessions->headers.requestId];
+    m_requestId.assign(id.data(), id.size());
+    if (m_callerClosed) {
+        // Nobody may be left to read the answer, so nothing is sent to an upstream any more.
+        refuseUnforwarded("caller has closed its connection");
+        return;
+    }
     if (m_sessions->isRefusing(m_arrived)) {
-        const auto id = message[m_sessions->headers.requestId];
-        refuseAsLeaving({id.data(), id.size()});
+        refuseUnforwarded("leaving");
         return;
     }
     m_request = makeForwardedRequest(std::move(message), m_sessions->headers, m_arrived);
-    m_requestId = m_request.id;
     watch();
     forward();
 }
@@ -363,9 +368,13 @@
 /// them first.
 void CallerSession::forward()
 {
+    if (m_callerClosed) {
+        refuseUnforwarded("caller has closed its connection");
+        return;
+    }
     const auto now = Clock::now();
     if (!m_sessions->forwarder.hasRoutes() && now - m_request.arrived < RoutesTimeout
-        && now + RoutesPollInterval < m_request.deadline && !m_callerClosed) {
+        && now + RoutesPollInterval < m_request.deadline) {
         m_timer.expires_after(RoutesPollInterval);
         m_timer.async_wait([self = shared_from_this()](error_code ec) {
             if (!ec && self->m_phase == Phase::Waiting) {
@@ -441,11 +450,12 @@
     }
 }
 
-void CallerSession::refuseAsLeaving(std::string_view request)
+/// Refuses a request that has been read and not been forwarded.
+void CallerSession::refuseUnforwarded(std::string_view reason)
 {
-    logEvent(LogLevel::Info, "request.refused", {{"request", request}, {"status", 503}, {"reason", "leaving"}});
+    logEvent(LogLevel::Info, "request.refused", {{"request", m_requestId}, {"status", 503}, {"reason", reason}});
     write(
-        makeLocalAnswer(http::status::service_unavailable, "leaving", request, m_sessions->headers, LeavingRetryAfter),
+        makeLocalAnswer(http::status::service_unavailable, reason, m_requestId, m_sessions->headers, LeavingRetryAfter),
         true);
 }
 
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -86,7 +86,7 @@
     void write(CallerAnswer answer, bool closeAfter);
     void onWritten(error_code ec);
     void drain();
-    void refuseAsLeaving(std::string_view request);
+    void refuseUnforwarded(std::string_view reason);
     void refuse(http::status status, std::string_view detail, Milliseconds retryAfter = Milliseconds(0));
     void refuseBadInput(error_code ec);
     void close();
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -23,6 +23,7 @@
 /// While the instance stops, it takes only requests that will probably be answered before it ends: this share of the
 /// route's requests takes no longer than the time that is left.
 constexpr double StopQuantile = 0.95;
+constexpr std::string_view Leaving = "leaving";
 
 } // namespace
 
@@ -69,10 +70,6 @@
             self->onDeadline();
         }
     });
-    if (now + m_latency.quantile(StopQuantile) > latestEnd() && m_forwarder.m_endsAt) {
-        refuse("leaving", now);
-        return;
-    }
     // Requests that are queued already are started first.
     if (m_service.queue.size() > 0) {
         enqueue(now);
@@ -93,6 +90,10 @@
         refuseUntil(*until, CrashesUpstreams, now);
         return true;
     }
+    if (mayOutlastStop(now)) {
+        refuse(Leaving, now);
+        return true;
+    }
     const auto choice = m_service.pool.startAttempt(
         {&m_latency, isFinalAttempt(), m_service.budget.remaining(now) >= MinRetriesForTrials, m_triedUpstreams}, now);
     if (!choice) {
@@ -125,6 +126,10 @@
 /// Refuses the request if no upstream may receive it in time. Returns whether it did.
 bool Forwarding::refuseWithoutUpstream(TimePoint now)
 {
+    if (mayOutlastStop(now)) {
+        refuse(Leaving, now);
+        return true;
+    }
     const auto usableFrom = m_service.pool.usableFrom(now);
     const auto latestStart = latestEnd() - m_latency.quantile(MinTimeLeftQuantile);
     if (usableFrom && *usableFrom <= std::max(latestStart, now)) {
@@ -171,6 +176,12 @@
     return std::chrono::duration_cast<Milliseconds>(m_deadline - now);
 }
 
+bool Forwarding::mayOutlastStop(TimePoint now) const
+{
+    const auto end = m_forwarder.m_endsAt;
+    return end && now + m_latency.quantile(StopQuantile) > *end;
+}
+
 TimePoint Forwarding::latestEnd() const
 {
     return std::min(m_deadline, m_forwarder.m_endsAt.value_or(m_deadline));
@@ -267,6 +278,7 @@
     }
     m_callerClosed = true;
     const auto now = Clock::now();
+    const auto self = shared_from_this(); // the handler releases this object
     if (m_attempts.empty()) {
         m_runs == 0 ? refuse(CallerClosed, now) : giveUp(http::status::gateway_timeout, CallerClosed, now);
     } else if (m_route.idempotent) {
@@ -277,7 +289,7 @@
 
 void Forwarding::end(TimePoint now)
 {
-    m_runs == 0 ? refuse("leaving", now) : giveUp(http::status::gateway_timeout, "leaving", now);
+    m_runs == 0 ? refuse(Leaving, now) : giveUp(http::status::gateway_timeout, Leaving, now);
 }
 
 } // namespace laburnumspar::detail
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -54,6 +54,8 @@
     bool isFinalAttempt() const;
     Milliseconds expectedWait(TimePoint now) const;
     Milliseconds timeLeft(TimePoint now) const;
+    /// Whether the instance may end before an attempt that starts now.
+    bool mayOutlastStop(TimePoint now) const;
     /// Time by which the request has to be answered.
     TimePoint latestEnd() const;
     void startAttempt(const UpstreamPool::Choice &choice, TimePoint now);
--- a/src/gateway/forwardingattempts.cpp
+++ b/src/gateway/forwardingattempts.cpp
@@ -172,7 +172,7 @@
 bool Forwarding::startRetry(double minRetries, TimePoint now)
 {
     if (!m_route.idempotent || m_runs >= m_route.attempts || timeLeft(now) <= MinRetryAfter
-        || m_forwarder.m_crashSuspects.blockedUntil(m_digest, now)) {
+        || m_forwarder.m_crashSuspects.blockedUntil(m_digest, now) || mayOutlastStop(now)) {
         return false;
     }
     // A retry is taken from the budget only if an upstream takes it: a hedge that finds none is tried again soon.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,9 +28,12 @@
 /// serving for as long.
 constexpr int MaxAddressLifetimes = 3;
 /// This long before the end of the grace time, all requests that still run get a final answer.
-constexpr Milliseconds StopMargin{600};
+constexpr Milliseconds MaxStopMargin{600};
 /// The process exits by itself this long before the end of the grace time, even if answers have not been written.
-constexpr Milliseconds ExitMargin{250};
+constexpr Milliseconds MaxExitMargin{250};
+/// The margins are at most these parts of the grace time, so that requests are not broken off early in a short one.
+constexpr int MinStopMargins = 10;
+constexpr int MinExitMargins = 24;
 /// Minimum time from the stop signal to the exit of an instance without traffic, so that the others learn that it
 /// leaves.
 constexpr Milliseconds IdleStopTime{300};
@@ -314,7 +317,7 @@
         link.announce();
         callers.startClosing();
         callers.refuseFrom(now + servingTime());
-        forwarder.endBy(now + settings.bounds.graceTime - StopMargin);
+        forwarder.endBy(now + settings.bounds.graceTime - stopMargin());
     }
 
     void scheduleTick()
@@ -349,17 +352,25 @@
         return std::min(MaxAddressLifetimes * AddressLifetime, settings.bounds.graceTime / 2);
     }
 
+    Milliseconds stopMargin() const
+    {
+        return std::min(MaxStopMargin, settings.bounds.graceTime / MinStopMargins);
+    }
+
     void continueStop(TimePoint now)
     {
         const auto left = *stopRequestedAt + settings.bounds.graceTime - now;
-        if (left <= ExitMargin || (finishing && hasStopped(now))) {
+        const auto exitMargin = std::min(MaxExitMargin, settings.bounds.graceTime / MinExitMargins);
+        if (finishing && hasStopped(now)) {
             shutDown();
-        } else if (left <= StopMargin && !ended) {
+        } else if (left <= stopMargin() && !ended) {
             ended = true;
             logStopPhase("ending", now);
             callers.refuseFrom(now);
             callers.refuseUnread();
             forwarder.endAll(now);
+        } else if (left <= exitMargin) {
+            shutDown();
         } else if (!finishing && hasStopped(now)) {
             // The next ticks read and refuse what has arrived meanwhile.
             finishing = true;
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -613,3 +613,50 @@
     BOOST_TEST(notRun > 0U);
     BOOST_TEST(mayHaveRun > 0U);
 }
+
+// Guards against sending a request to an upstream after its caller has closed the connection.
+BOOST_FIXTURE_TEST_CASE(earlyRequestsOfCallersThatLeftAreNotSent, SlowFixture)
+{
+    int runs = 0;
+    firstAnswer = [&](const HttpRequest &request) {
+        ++runs;
+        return signedAnswer(request, http::status::ok);
+    };
+    RawCaller caller(context);
+    caller.sendRequest("r1");
+    caller.sendRequest("r2");
+    caller.runFor(100ms);
+    caller.close();
+    caller.runFor(1s);
+    BOOST_TEST(runs == 1);
+}
+
+// Guards against starting a queued request so late in a stop that it would be broken off.
+BOOST_FIXTURE_TEST_CASE(queuedRequestsAreNotStartedJustBeforeTheEnd, SlowFixture)
+{
+    firstDelay = 1300ms;
+    std::vector<std::unique_ptr<RawCaller>> queued;
+    for (int n = 0; n < 8; ++n) {
+        queued.push_back(std::make_unique<RawCaller>(context));
+        queued.back()->sendRequest("r" + std::to_string(n));
+    }
+    queued.front()->runFor(100ms);
+    const auto end = Clock::now() + 1500ms;
+    forwarder.endBy(end);
+    while (Clock::now() < end) {
+        queued.front()->runFor(50ms);
+        forwarder.tick(Clock::now());
+    }
+    forwarder.endAll(Clock::now());
+    for (const auto &it : queued) {
+        const auto text = it->receive(1);
+        BOOST_TEST((contains(text, "HTTP/1.1 200") || contains(text, "HTTP/1.1 503")), text);
+    }
+}
+
+// Guards against refusing requests during a stop for a deadline that has nothing to do with it.
+BOOST_FIXTURE_TEST_CASE(shortDeadlinesAreNoReasonToRefuseDuringAStop, SlowFixture)
+{
+    forwarder.endBy(Clock::now() + 1h);
+    BOOST_TEST(sendAndWait() == 200U);
+}
