tests: peers that missed changes for longer than the store's history bring nothing back

When it is back, a third instance starts anew, with or without the store.

Checked: the instance that missed nothing never takes older state back; all three use the newest from 3 s (contact_s) after the restart; the frozen and cut-off instance did miss the changes, and the refused one had learned of them from the others by the time of the restart, 2 to 3 s later.

No fault was put in to see it fail. What the restarted instance uses in its first 3 s is not checked.

--- a/tests/storefleet.h
+++ b/tests/storefleet.h
@@ -172,6 +172,16 @@
         }
     }
 
+    /// A frozen instance keeps its connections and does nothing.
+    void setFrozen(unsigned n, bool frozen)
+    {
+        if (frozen) {
+            m_frozen.insert(n);
+        } else {
+            m_frozen.erase(n);
+        }
+    }
+
     /// The store is unavailable for a moment and returns with the copy that was kept last.
     void loseStore()
     {
@@ -197,9 +207,9 @@
             }
             m_context.restart();
             m_context.poll();
-            for (auto &it : m_instances) {
-                if (it) {
-                    it->poll();
+            for (unsigned n = 0; n < m_instances.size(); ++n) {
+                if (isRunning(n)) {
+                    m_instances[n]->poll();
                 }
             }
             exchangeStatuses();
@@ -231,6 +241,11 @@
         return {loopbackAddress(MaxInstances), StorePort};
     }
 
+    bool isRunning(unsigned n) const
+    {
+        return m_instances[n] && !m_frozen.contains(n);
+    }
+
     void exchangeStatuses()
     {
         if (Clock::now() - m_lastStatuses < StatusInterval) {
@@ -238,12 +253,12 @@
         }
         m_lastStatuses = Clock::now();
         for (unsigned n = 0; n < m_instances.size(); ++n) {
-            if (!m_instances[n]) {
+            if (!isRunning(n)) {
                 continue;
             }
             m_instances[n]->updateRole();
             for (unsigned other = 0; other < m_instances.size(); ++other) {
-                if (other != n && m_instances[other] && !m_cutOff.contains(n) && !m_cutOff.contains(other)) {
+                if (other != n && isRunning(other) && !m_cutOff.contains(n) && !m_cutOff.contains(other)) {
                     m_instances[other]->receive(m_instances[n]->status());
                 }
             }
@@ -255,6 +270,7 @@
     std::vector<std::unique_ptr<soak::FaultProxy>> m_storeLinks;
     std::vector<std::unique_ptr<FollowingInstance>> m_instances;
     std::set<unsigned> m_cutOff;
+    std::set<unsigned> m_frozen;
     TimePoint m_lastStatuses;
 };
 
