adapter: an entry names an upstream only with all its fields

Cause: decodeUpstream() required five of the nine fields, took missing numbers for 0 and never looked at two fields. Ruled out: the removal itself; no request reached the upstreams between it and the odd entries. Whole numbers with fractions, a truncated flag that is no boolean and a health path that is no string passed in the same way.

An error names the field and never contains the value, which may have a megabyte; the log line has the key. An odd entry under the key of a known upstream names none, so that upstream is not used until it writes again, within a heartbeat interval: the entry is all that the store says of it. Configurations keep their optional fields. Settings files (TOML) and messages between instances (binary) keep their own typed readers.

--- a/src/detail/jsonfields.h
+++ b/src/detail/jsonfields.h
@@ -5,6 +5,9 @@
 #include <boost/json.hpp>
 
 #include <cstdint>
+#include <limits>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -13,6 +16,42 @@
 // Validated access to the members of a JSON document. All functions but stateName() throw DecodeError, whose message
 // names the member that is missing or invalid.
 
+enum class FieldType : std::uint8_t {
+    Text,
+    Address, ///< text of the form IP:PORT, with a port above 0
+    Number,
+    WholeNumber,
+    Boolean,
+    Array,
+    Object,
+};
+
+enum class Presence : std::uint8_t {
+    Required,
+    Optional, ///< may also be null
+};
+
+/// The largest whole number up to which a double holds all of them exactly.
+inline constexpr double MaxExactNumber = 9007199254740992; // 2^53
+
+/// What a member of an object has to be.
+struct FieldRule {
+    std::string_view name;
+    FieldType type = FieldType::Text;
+    Presence presence = Presence::Required;
+    double min = 0; ///< smallest number, or shortest text in bytes
+    double max = MaxExactNumber; ///< largest number, or longest text in bytes
+    std::span<const std::string_view> words{}; ///< texts that are allowed; empty: any
+};
+
+/// Returns the member if it keeps the rule, or null if it is optional and missing.
+const boost::json::value *checkedMember(const boost::json::object &object, const FieldRule &rule);
+/// Checks the members that the rules name. Others may be there, too.
+void checkMembers(const boost::json::object &object, std::span<const FieldRule> rules);
+std::string textIn(const boost::json::object &object, const FieldRule &rule);
+std::optional<double> optionalNumberIn(const boost::json::object &object, const FieldRule &rule);
+double requiredNumberIn(const boost::json::object &object, const FieldRule &rule);
+
 /// Parses a document whose root is an object.
 boost::json::object parseObject(std::string_view text);
 /// `what`: name of the value in the error message.
--- a/tests/test_oddentries.cpp
+++ b/tests/test_oddentries.cpp
@@ -13,7 +13,8 @@
 
 std::string makeEntry(const std::string &address, const std::string &more = {})
 {
-    return R"({"service":"s1","addr":")" + address + R"(","zone":"palermo","slots":6,"state":"ready","born":1000)"
+    return R"({"service":"s1","addr":")" + address
+        + R"(","zone":"palermo","version":"v1","slots":6,"state":"ready","warmup_left_s":0,"seq":4,"born":1000)"
         + (more.empty() ? "" : ',' + more) + '}';
 }
 
--- a/tests/test_platformadapter.cpp
+++ b/tests/test_platformadapter.cpp
@@ -5,8 +5,11 @@
 #include "laburnumspar/errors.h"
 
 #include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace laburnumspar;
 
 namespace {
@@ -109,6 +112,90 @@
     BOOST_TEST(std::holds_alternative<std::monostate>(decode("other/key", "x")));
 }
 
+// Guards against entries of another writer that bring back an upstream which has left (review case 5): each field of an
+// entry has to be there, with its type and in its range, and the message says which one is wrong.
+BOOST_AUTO_TEST_CASE(upstreamEntriesAreComplete)
+{
+    const auto complete = boost::json::parse(serverText).as_object();
+    const auto rejection = [](const boost::json::object &entry) -> std::string {
+        try {
+            decode("servers/i-1", boost::json::serialize(entry));
+        } catch (const DecodeError &e) {
+            return e.what();
+        }
+        return {};
+    };
+    const std::map<std::string, std::vector<boost::json::value>> wrong{
+        {"service", {"", 7}},
+        {"addr", {"", 7, "10.0.0.1:0", "10.0.0.1:65536", "host:80"}},
+        {"zone", {"", 7}},
+        {"version", {"", 7, 1.5}},
+        {"slots", {0, -1, 1.5, 100'001, "6"}},
+        {"state", {"", "resting", "Ready", 7}},
+        {"warmup_left_s", {-0.5, 1e300, "0"}},
+        {"seq", {-1, 0.5, 1e300, "4"}},
+        {"born", {0, -1, 1791199727083.5, 1e300, "1791199727083"}}};
+    BOOST_TEST(rejection(complete).empty());
+    BOOST_TEST(complete.size() == wrong.size());
+    for (const auto &[field, values] : wrong) {
+        auto entry = complete;
+        entry.erase(field);
+        BOOST_TEST_INFO(field << " missing");
+        BOOST_TEST(rejection(entry).find('"' + field + '"') != std::string::npos);
+        auto all = values;
+        all.insert(all.end(), {nullptr, true, boost::json::array{}, boost::json::object{}});
+        for (const auto &value : all) {
+            entry[field] = value;
+            BOOST_TEST_INFO(field << " " << boost::json::serialize(value));
+            BOOST_TEST(rejection(entry).find('"' + field + '"') != std::string::npos);
+        }
+    }
+}
+
+// Guards against sound upstreams that are turned away for the way in which their numbers are written, or for a field
+// that is not known here.
+BOOST_AUTO_TEST_CASE(soundEntriesAreUsed)
+{
+    for (const auto &[field, value] :
+         std::vector<std::pair<std::string, boost::json::value>>{{"slots", 3.0},
+                                                                 {"seq", 0},
+                                                                 {"born", 1.791199727083e12},
+                                                                 {"warmup_left_s", 0},
+                                                                 {"state", "draining"},
+                                                                 {"more", boost::json::array{1}}}) {
+        auto entry = boost::json::parse(serverText).as_object();
+        entry[field] = value;
+        BOOST_TEST_INFO(field);
+        BOOST_CHECK_NO_THROW(decode("servers/i-1", boost::json::serialize(entry)));
+    }
+}
+
+// Guards against fields of a configuration of another type that are ignored, and against messages that contain the
+// value.
+BOOST_AUTO_TEST_CASE(fieldsOfConfigurationsAreChecked)
+{
+    for (const auto &[from, to] :
+         std::vector<std::pair<std::string, std::string>>{{"\"r12\"", "12"},
+                                                          {"\"/healthz\",360", "7,360"},
+                                                          {"360", "\"360\""},
+                                                          {"\"unsafe\",5", "\"unsafe\",\"5\""},
+                                                          {"\"unsafe\",5", "\"unsafe\",-5"},
+                                                          {"\"weight\":90", "\"weight\":\"90\""},
+                                                          {"16384", "1.5"}}) {
+        auto text = configText;
+        text.replace(text.find(from), from.size(), to);
+        BOOST_TEST_INFO(to);
+        BOOST_CHECK_THROW(decode("op/config", text), DecodeError);
+    }
+    BOOST_CHECK_THROW(adapter.decodePage(R"({"items":[],"truncated":"yes","as_of":9})", 1), DecodeError);
+    try {
+        decode("op/config", R"({"version":")" + std::string(100'000, 'x') + "\"}");
+        BOOST_ERROR("a configuration without a version was accepted");
+    } catch (const DecodeError &e) {
+        BOOST_TEST(std::string_view(e.what()).size() < 200U);
+    }
+}
+
 // Guards against using values that are not base64, and against removals that are decoded as empty items.
 BOOST_AUTO_TEST_CASE(storeRepliesAreDecoded)
 {
--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -35,7 +35,8 @@
     return {0, number};
 }
 
-const std::string serverText = R"({"service":"s1","addr":"127.0.0.9:80","zone":"palermo","slots":6,"state":"ready"})";
+const std::string serverText = R"({"service":"s1","addr":"127.0.0.9:80","zone":"palermo","version":"v1","slots":6,
+    "state":"ready","warmup_left_s":0,"seq":1,"born":1000})";
 
 /// A follower with a store and one other instance, whose answers are set by the test.
 struct Fixture {
--- a/tests/test_storeloss.cpp
+++ b/tests/test_storeloss.cpp
@@ -19,8 +19,8 @@
 
 std::string makeEntry(const std::string &state, std::uint64_t born = 1000)
 {
-    return R"({"service":"s1","addr":"127.0.0.9:80","zone":"palermo","slots":6,"state":")" + state + R"(","born":)"
-        + std::to_string(born) + "}";
+    return R"({"service":"s1","addr":"127.0.0.9:80","zone":"palermo","version":"v1","slots":6,"state":")" + state
+        + R"(","warmup_left_s":0,"seq":1,"born":)" + std::to_string(born) + "}";
 }
 
 /// A fleet that knows configuration 1 and the upstream i-1.
