--- a/src/gateway/backgroundworker.h
+++ b/src/gateway/backgroundworker.h
@@ -2,6 +2,7 @@
 
 #include "net/io.h"
 
+#include <optional>
 #include <type_traits>
 
 namespace laburnumspar::detail {
@@ -18,12 +19,15 @@
     awaitable<std::invoke_result_t<const Function &>> run(const Function &function)
     {
         using Result = std::invoke_result_t<const Function &>;
+        if (!m_pool) {
+            m_pool.emplace(1);
+        }
         const auto task = [&function]() -> awaitable<Result> { co_return function(); };
-        co_return co_await asio::co_spawn(m_pool, task, asio::use_awaitable);
+        co_return co_await asio::co_spawn(*m_pool, task, asio::use_awaitable);
     }
 
 private:
-    asio::thread_pool m_pool{1};
+    std::optional<asio::thread_pool> m_pool; ///< started with the first calculation
 };
 
 } // namespace laburnumspar::detail
