gateway: bodies of requests and answers count against one memory budget

Callers saw connections end without an answer, with non-idempotent requests that had run, when bodies of tens of megabytes waited for slow upstreams: the instance passed its memory and was killed, and killed again after its restart. Bodies over an eighth of the memory (33 MB and more at 260 MB) always got 503.

Cause: two counters covered only bodies of requests and answers that had not arrived completely. Complete ones were not bounded, and each attempt held a copy of the request's body. Ruled out: a smaller bound for incomplete bodies, which refuses more and still leaves the complete ones.

Now MemoryBudget bounds what is held of requests and answers until the last byte is sent, early bytes of later requests included. MessageBody holds a body once for all attempts, in pieces, so that one of unknown length is not copied to grow. A request of known length takes its memory before its body is read or asked for with 100; what does not fit gets 503 and a Retry-After from the rate at which memory is released lately, or none if it can never fit. Parts of the budget are kept for answers, whose requests have run, and for small requests. Refused bodies are read and discarded for up to 5 s, as most callers read the answer after they have sent everything. Large blocks go back to the system when freed; the allocator otherwise keeps freed bodies up to 32 MB in its heap. Bytes of framing no longer count as memory; the bound on framing ends answers made of it. The digest of a request covers its body whatever its pieces.

Tests: test_memorybudget is new; of the new cases of test_callerserver, waitingBodiesAreBounded, bodiesThatDoNotFitAreNotAskedFor, growingBodiesAreRefusedWhenTheMemoryIsUsedUp and answersThatWaitForSlowCallersAreCounted failed on the code before. Other tests changed only where a body's type did. memoryLimitCoversAllAnswers found that a failed exchange kept its body until its owner dropped it.

--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -30,9 +30,8 @@
                            Forwarder &forwarder,
                            const ServiceRegistry &serviceRegistry,
                            const ForwardingHeaders &headers,
-                           std::size_t maxBodyBytes)
-    : m_sessions(
-        std::make_shared<CallerSessions>(CallerSessions{context, forwarder, serviceRegistry, headers, maxBodyBytes}))
+                           MemoryBudget &memory)
+    : m_sessions(std::make_shared<CallerSessions>(CallerSessions{context, forwarder, serviceRegistry, headers, memory}))
     , m_listener(context, endpoint, [sessions = m_sessions](tcp::socket socket) {
         if (sessions->open.size() < MaxConnections) {
             std::make_shared<CallerSession>(sessions, std::move(socket))->waitForRequest();
--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -13,14 +13,14 @@
 class CallerServer
 {
 public:
-    /// Binds the listening socket. `maxBodyBytes`: memory for bodies that have not arrived completely; requests that
-    /// exceed it are refused. Throws TransportError if the address is in use.
+    /// Binds the listening socket. `memory`: for the bodies of requests; those that do not fit are refused. Throws
+    /// TransportError if the address is in use.
     CallerServer(asio::io_context &context,
                  const Endpoint &endpoint,
                  Forwarder &forwarder,
                  const ServiceRegistry &serviceRegistry,
                  const ForwardingHeaders &headers,
-                 std::size_t maxBodyBytes);
+                 MemoryBudget &memory);
     ~CallerServer();
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -1,9 +1,9 @@
 #include "gateway/callersession.h"
 
+#include "gateway/socketstate.h"
 #include "laburnumspar/log.h"
 #include "net/requestframing.h"
 
-#include <poll.h>
 #include <sys/socket.h>
 
 namespace laburnumspar::detail {
@@ -17,8 +17,6 @@
 /// has started to listen.
 constexpr Milliseconds RoutesTimeout{800};
 constexpr Milliseconds RoutesPollInterval{50};
-/// Retry-After for a request whose body does not fit into the memory.
-constexpr Milliseconds MemoryRetryAfter{500};
 /// Retry-After for a request that an instance refuses because it stops; another instance takes it at once.
 constexpr Milliseconds LeavingRetryAfter{100};
 /// Unparsed data of a request beyond the header. Chunk headers have to fit, which otherwise could grow without end.
@@ -27,20 +25,10 @@
 constexpr std::size_t MaxEarlyBytes = 16 << 10;
 /// Interval at which a connection with more early bytes than that is checked for a close.
 constexpr Milliseconds ClosePollInterval{200};
-/// Longest time for which a connection is drained after its last answer.
-constexpr Milliseconds DrainTimeout{1000};
-
-bool wouldBlock(int error)
-{
-    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
-}
-
-/// Whether the other side has closed the connection, even if it has sent bytes that are not read yet.
-bool closedByPeer(tcp::socket &socket)
-{
-    pollfd entry{socket.native_handle(), POLLRDHUP, 0};
-    return ::poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
+/// Longest time for which a connection is drained after its last answer. Large bodies that are refused take long to
+/// arrive, and many callers read the answer only after they have sent all of it.
+constexpr Milliseconds DrainTimeout{5000};
+constexpr std::size_t DrainedBytes = 16 << 10;
 
 } // namespace
 
@@ -50,6 +38,7 @@
     , m_timer(m_sessions->context)
     , m_closeTimer(m_sessions->context)
     , m_buf(MaxUnparsedBytes)
+    , m_earlyBytes(m_sessions->memory, MemoryUse::EarlyBytes)
 {
     m_sessions->open.insert(this);
 }
@@ -57,7 +46,6 @@
 CallerSession::~CallerSession()
 {
     logIfUnanswered();
-    releasePendingBytes();
     m_sessions->open.erase(this);
 }
 
@@ -65,11 +53,13 @@
 {
     m_phase = Phase::Idle;
     m_idleSince = Clock::now();
+    m_earlyBytes.hold(0);
     discardEmptyLines();
     if (m_buf.size() > 0) {
         readHeader();
         return;
     }
+    m_buf.shrink_to_fit();
     armIdleTimer();
     watch();
 }
@@ -212,7 +202,7 @@
 /// the end of its connection.
 void CallerSession::readEarlyBytes()
 {
-    if (m_buf.size() >= MaxEarlyBytes) {
+    if (m_buf.size() >= MaxEarlyBytes || !m_earlyBytes.resize(MaxEarlyBytes)) {
         pollForClose();
         return;
     }
@@ -254,6 +244,7 @@
     m_parser.emplace();
     m_parser->header_limit(std::uint32_t(limits.headerBytes));
     m_parser->body_limit(limits.bodyBytes);
+    m_parser->get().body() = MessageBody(m_sessions->memory, MemoryUse::Request);
     m_timer.expires_after(limits.headerTimeout);
     m_timer.async_wait([self = shared_from_this()](error_code ec) {
         if (!ec && self->m_phase == Phase::Reading) {
@@ -278,6 +269,11 @@
         refuse(*status, "unsupported transfer encoding");
         return;
     }
+    const auto length = m_parser->content_length().value_or(0);
+    if (!m_parser->get().body().reserve(length)) {
+        refuseForMemory(length);
+        return;
+    }
     if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         asio::async_write(
@@ -309,39 +305,38 @@
 
 void CallerSession::readBodyPart()
 {
-    http::async_read_some(m_socket, m_buf, *m_parser, [self = shared_from_this()](error_code ec, std::size_t n) {
+    http::async_read_some(m_socket, m_buf, *m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
         if (self->m_phase == Phase::Reading) {
-            self->onBodyPart(ec, n);
+            self->onBodyPart(ec);
         }
     });
 }
 
-void CallerSession::onBodyPart(error_code ec, std::size_t n)
+void CallerSession::onBodyPart(error_code ec)
 {
-    m_pendingBytes += n;
-    m_sessions->pendingBodyBytes += n;
-    if (ec) {
-        m_timer.cancel();
+    if (!ec && !m_parser->is_done()) {
+        readBodyPart();
+        return;
+    }
+    m_timer.cancel();
+    if (ec == asio::error::no_memory) {
+        refuseForMemory(m_parser->get().body().size() + m_buf.size());
+    } else if (ec) {
         refuseBadInput(ec);
-    } else if (m_parser->is_done()) {
-        m_timer.cancel();
-        onMessage();
-    } else if (m_sessions->pendingBodyBytes > m_sessions->maxBodyBytes) {
-        m_timer.cancel();
-        refuse(http::status::service_unavailable, "no memory for the body", MemoryRetryAfter);
     } else {
-        readBodyPart();
+        onMessage();
     }
 }
 
-void CallerSession::releasePendingBytes()
+void CallerSession::refuseForMemory(std::size_t bytes)
 {
-    m_sessions->pendingBodyBytes -= std::exchange(m_pendingBytes, 0);
+    const auto retryAfter = m_sessions->memory.expectedWait(bytes).value_or(Milliseconds(0));
+    refuse(http::status::service_unavailable, "no memory for the body", retryAfter);
 }
 
 void CallerSession::onMessage()
 {
-    releasePendingBytes();
+    m_earlyBytes.hold(m_buf.size());
     m_phase = Phase::Waiting;
     m_arrived = Clock::now();
     auto message = m_parser->release();
@@ -389,21 +384,22 @@
     m_forwarding.reset();
     m_closeAfter = closeAfter || m_sessions->closing;
     m_head = callerHead(answer, m_closeAfter);
-    m_body = m_headOnly ? std::string() : std::move(answer.body);
+    m_body = m_headOnly ? MessageBody() : std::move(answer.body);
     m_timer.expires_after(WriteTimeout);
     m_timer.async_wait([self = shared_from_this()](error_code ec) {
         if (!ec && self->m_phase == Phase::Writing) {
             self->close();
         }
     });
-    const std::array<asio::const_buffer, 2> bufs{asio::buffer(m_head), asio::buffer(m_body)};
+    std::vector<asio::const_buffer> bufs{asio::buffer(m_head)};
+    m_body.appendTo(bufs);
     asio::async_write(m_socket, bufs, [self = shared_from_this()](error_code ec, std::size_t) { self->onWritten(ec); });
 }
 
 void CallerSession::onWritten(error_code ec)
 {
     m_timer.cancel();
-    m_body = {};
+    m_body.clear();
     if (m_phase != Phase::Writing) {
         return;
     }
@@ -411,7 +407,7 @@
         close();
     } else if (!m_closeAfter) {
         waitForRequest();
-    } else if (!m_callerClosed && hasUnreadData()) {
+    } else if (!m_callerClosed && (m_unread || hasUnreadData())) {
         logEvent(LogLevel::Info, "connection.closed-unread", {{"request", m_requestId}});
         error_code ignored;
         m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -432,7 +428,7 @@
 /// connection, and the caller may lose the end of the answer.
 void CallerSession::drain()
 {
-    std::array<char, 4096> discarded{};
+    std::array<char, DrainedBytes> discarded{};
     const auto n = ::recv(m_socket.native_handle(), discarded.data(), discarded.size(), MSG_DONTWAIT);
     if (n > 0 || (n < 0 && wouldBlock(errno))) {
         watch();
@@ -454,14 +450,16 @@
     if (m_phase != Phase::Reading) {
         return;
     }
-    releasePendingBytes();
+    m_unread = true;
     const auto &partial = m_parser->get();
     const auto id = partial[m_sessions->headers.requestId];
     logEvent(LogLevel::Info,
              "request.refused",
              {{"request", std::string_view(id.data(), id.size())}, {"status", unsigned(status)}, {"reason", detail}});
     m_headOnly = false;
-    write(makeLocalAnswer(status, detail, {id.data(), id.size()}, m_sessions->headers, retryAfter), true);
+    auto answer = makeLocalAnswer(status, detail, {id.data(), id.size()}, m_sessions->headers, retryAfter);
+    m_parser->get().body().clear();
+    write(std::move(answer), true);
 }
 
 void CallerSession::refuseBadInput(error_code ec)
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -18,8 +18,7 @@
     Forwarder &forwarder;
     const ServiceRegistry &serviceRegistry;
     const ForwardingHeaders &headers;
-    std::size_t maxBodyBytes; ///< of all bodies that have not arrived completely
-    std::size_t pendingBodyBytes = 0;
+    MemoryBudget &memory;
     std::set<CallerSession *> open{};
     bool closing = false; ///< connections are closed after the next answer
     std::optional<TimePoint> refuseFrom{}; ///< requests that are read later are refused as not run
@@ -79,8 +78,8 @@
     void onHeader(error_code ec);
     void readBody();
     void readBodyPart();
-    void onBodyPart(error_code ec, std::size_t n);
-    void releasePendingBytes();
+    void onBodyPart(error_code ec);
+    void refuseForMemory(std::size_t bytes);
     void onMessage();
     void forward();
     void write(CallerAnswer answer, bool closeAfter);
@@ -96,19 +95,20 @@
     asio::steady_timer m_timer;
     asio::steady_timer m_closeTimer; ///< of pollForClose()
     beast::flat_buffer m_buf;
-    std::optional<http::request_parser<http::string_body>> m_parser;
-    std::size_t m_pendingBytes = 0; ///< part of CallerSessions::pendingBodyBytes
+    std::optional<http::request_parser<BudgetedBody>> m_parser;
+    MemoryReservation m_earlyBytes; ///< what m_buf holds of later requests
     ForwardedRequest m_request;
     std::string m_requestId; ///< of the last request that was read completely
     TimePoint m_arrived; ///< when it was read
     std::shared_ptr<Forwarding> m_forwarding;
     std::string m_head;
-    std::string m_body;
+    MessageBody m_body;
     TimePoint m_idleSince;
     Phase m_phase = Phase::Idle;
     bool m_keepAlive = true;
     bool m_headOnly = false;
     bool m_closeAfter = false;
+    bool m_unread = false; ///< the last request has been refused before it was read
     bool m_watching = false; ///< a wait for readability is pending
     bool m_callerClosed = false; ///< the caller sends nothing more
 };
--- a/src/gateway/crashsuspects.cpp
+++ b/src/gateway/crashsuspects.cpp
@@ -18,14 +18,22 @@
                             std::string_view method,
                             std::string_view host,
                             std::string_view target,
-                            std::string_view body)
+                            const MessageBody &body)
 {
     // Each part is hashed with the digest of the parts before it as seed, so that their borders matter.
     RequestDigest digest = 0;
-    for (const auto part : {service, method, host, target, body}) {
+    for (const auto part : {service, method, host, target}) {
         digest = XXH64(part.data(), part.size(), digest);
     }
-    return digest;
+    // Where a body is divided into pieces differs between instances.
+    const std::unique_ptr<XXH64_state_t, decltype(&XXH64_freeState)> state(XXH64_createState(), XXH64_freeState);
+    XXH64_reset(state.get(), digest);
+    std::vector<asio::const_buffer> pieces;
+    body.appendTo(pieces);
+    for (const auto &it : pieces) {
+        XXH64_update(state.get(), it.data(), it.size());
+    }
+    return XXH64_digest(state.get());
 }
 
 ProcessDigest processDigest(const RegisteredUpstream &upstream)
--- a/src/gateway/crashsuspects.h
+++ b/src/gateway/crashsuspects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/messagebody.h"
 #include "laburnumspar/upstreamregistry.h"
 
 #include <cstdint>
@@ -19,7 +20,7 @@
                             std::string_view method,
                             std::string_view host,
                             std::string_view target,
-                            std::string_view body);
+                            const MessageBody &body);
 ProcessDigest processDigest(const RegisteredUpstream &upstream);
 
 /// What an instance tells the others about a request under which upstreams crashed.
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -17,12 +17,12 @@
                      ServiceRegistry &serviceRegistry,
                      const ForwardingHeaders &headers,
                      MetricsRegistry &metrics,
-                     std::size_t maxAnswerBytes)
+                     MemoryBudget &memory)
     : m_context(context)
     , m_serviceRegistry(serviceRegistry)
     , m_headers(headers)
     , m_metrics(metrics)
-    , m_connections(context, headers, maxAnswerBytes)
+    , m_connections(context, headers, memory)
     , m_active(std::make_shared<std::set<Forwarding *>>())
 {
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -22,12 +22,12 @@
 public:
     using Handler = std::function<void(CallerAnswer)>;
 
-    /// `maxAnswerBytes`: memory for answers that have not arrived completely.
+    /// `memory`: for the bodies of answers.
     Forwarder(asio::io_context &context,
               ServiceRegistry &serviceRegistry,
               const ForwardingHeaders &headers,
               MetricsRegistry &metrics,
-              std::size_t maxAnswerBytes);
+              MemoryBudget &memory);
     ~Forwarder();
     Forwarder(const Forwarder &) = delete;
     Forwarder &operator=(const Forwarder &) = delete;
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -44,7 +44,7 @@
     , m_deadline(route.timeout.count() > 0
                      ? std::min(m_request.deadline - AnswerMargin, m_request.arrived + route.timeout)
                      : m_request.deadline - AnswerMargin)
-    , m_digest(requestDigest(service, m_request.method, m_request.host, m_request.target, m_request.body))
+    , m_digest(requestDigest(service, m_request.method, m_request.host, m_request.target, *m_request.body))
     , m_active(forwarder.m_active)
 {
     m_active->insert(this);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,10 +38,10 @@
 constexpr Milliseconds LoadInterval{1000};
 /// Weight of the newest value in the exponential moving average of the load.
 constexpr double LoadSmoothing = 0.4;
-/// The memory divided by this may be used for answers, and for bodies of requests, that have not arrived completely. A
-/// string that grows needs up to three times its size for a moment.
-constexpr std::size_t MemoryPerPendingAnswers = 8;
-constexpr std::size_t MemoryPerPendingBodies = 8;
+/// Part of the memory that may hold bodies of requests and answers. The rest is for tables, connections and what the
+/// allocator has not returned to the system yet.
+constexpr double BodyMemoryShare = 0.625;
+
 std::uint64_t newIncarnation()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -75,16 +75,12 @@
     Private(GatewaySettings gatewaySettings, PlatformAdapter platformAdapter)
         : settings(std::move(gatewaySettings))
         , adapter(std::move(platformAdapter))
+        , memory(std::size_t(double(settings.memoryBytes) * BodyMemoryShare))
         , serviceRegistry(settings.zone, settings.bounds, std::random_device()())
         , group(initialStatus(settings), {}, Clock::now())
         , assignment(settings.ip)
-        , forwarder(context, serviceRegistry, adapter.headers, metrics, settings.memoryBytes / MemoryPerPendingAnswers)
-        , callers(context,
-                  settings.callers,
-                  forwarder,
-                  serviceRegistry,
-                  adapter.headers,
-                  settings.memoryBytes / MemoryPerPendingBodies)
+        , forwarder(context, serviceRegistry, adapter.headers, metrics, memory)
+        , callers(context, settings.callers, forwarder, serviceRegistry, adapter.headers, memory)
         , readiness(context,
                     settings.readiness,
                     {},
@@ -105,6 +101,7 @@
         serviceRegistry.setExplorer([this](const RegisteredUpstream &it) { return assignment.isExplorer(it); });
         serviceRegistry.setRateShare([this](const RegisteredUpstream &it) { return assignment.rateShare(it); });
         openMetrics();
+        returnLargeBlocksWhenFreed();
     }
 
     void start()
@@ -128,6 +125,7 @@
     GatewaySettings settings;
     PlatformAdapter adapter;
     std::function<GatewaySettings()> onReload;
+    MemoryBudget memory; ///< outlives the handlers in the context
     asio::io_context context{1};
     MetricsRegistry metrics;
     ServiceRegistry serviceRegistry;
@@ -271,6 +269,12 @@
         metrics.gauge("lspar_pulls_rejected").set(double(follower.rejectedPulls()));
         metrics.gauge("lspar_store_replies_rejected").set(double(follower.rejectedReplies()));
         metrics.gauge("lspar_requests_in_flight").set(double(forwarder.inFlight()));
+        metrics.gauge("lspar_memory_budget_bytes").set(double(memory.limit()));
+        metrics.gauge("lspar_memory_held_bytes").set(double(memory.held()));
+        for (const auto use : MemoryUses) {
+            metrics.gauge("lspar_memory_refused", {{"use", std::string(useName(use))}})
+                .set(double(memory.refused(use)));
+        }
         co_return makeResponse(http::status::ok, "text/plain; version=0.0.4", metrics.prometheus());
     }
 
@@ -336,6 +340,7 @@
         measureLoad(now);
         link.tick(now);
         forwarder.tick(now);
+        memory.tick(now);
         flushLog();
         if (stopRequestedAt) {
             continueStop(now);
--- a/src/gateway/httptext.cpp
+++ b/src/gateway/httptext.cpp
@@ -86,7 +86,7 @@
     request.headers = endToEndHeaders(
         message, [&](auto name) { return equals(name, names.deadline) || equals(name, names.expectedIdentity); });
     request.hasBody = message.has_content_length() || message.chunked();
-    request.body = std::move(message.body());
+    request.body = std::make_shared<const MessageBody>(std::move(message.body()));
     request.arrived = now;
     request.deadline = now + parseDeadline(message[names.deadline]);
     return request;
@@ -101,8 +101,8 @@
     head += request.headers;
     head += names.deadline + ": " + std::to_string(std::max<std::int64_t>(timeLeft.count(), 1)) + "\r\n";
     head += names.expectedIdentity + ": " + identity + "\r\n";
-    if (request.hasBody || !request.body.empty()) {
-        head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    if (request.hasBody || !request.body->empty()) {
+        head += "Content-Length: " + std::to_string(request.body->size()) + "\r\n";
     }
     return head + "\r\n";
 }
--- a/src/gateway/httptext.h
+++ b/src/gateway/httptext.h
@@ -1,15 +1,16 @@
 #pragma once
 
+#include "gateway/messagebody.h"
 #include "laburnumspar/gateway.h"
-#include "net/io.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
 
 namespace laburnumspar::detail {
 
-using CallerMessage = http::request<http::string_body>;
-using UpstreamMessage = http::response<http::string_body>;
+using CallerMessage = http::request<BudgetedBody>;
+using UpstreamMessage = http::response<BudgetedBody>;
 
 /// A caller's request, prepared for forwarding.
 struct ForwardedRequest {
@@ -18,7 +19,7 @@
     std::string target;
     std::string host;
     std::string headers; ///< header lines that are forwarded unchanged
-    std::string body;
+    std::shared_ptr<const MessageBody> body = std::make_shared<MessageBody>(); ///< shared by all attempts
     bool hasBody = false; ///< the caller has sent a body, which may be empty
     TimePoint arrived;
     TimePoint deadline; ///< by which the caller needs the answer
@@ -29,7 +30,7 @@
     unsigned status = 503;
     std::string reason;
     std::string headers;
-    std::string body;
+    MessageBody body;
     std::string contentLength; ///< Content-Length of the upstream's answer to HEAD; empty: the size of the body
 };
 
--- a/src/gateway/upstreamconnections.cpp
+++ b/src/gateway/upstreamconnections.cpp
@@ -89,9 +89,8 @@
 struct UpstreamConnections::State {
     asio::io_context &context;
     const ForwardingHeaders &names;
-    std::size_t maxPendingBytes; ///< of all answers that have not arrived completely
+    MemoryBudget &memory;
     std::map<std::string, std::deque<std::unique_ptr<Connection>>> idle{}; ///< by identity, most recently used last
-    std::size_t pendingBytes = 0;
     std::uint64_t opened = 0;
 };
 
@@ -122,10 +121,6 @@
         }
     }
 
-    ~ActiveExchange() override
-    {
-        releasePendingBytes();
-    }
     ActiveExchange(const ActiveExchange &) = delete;
     ActiveExchange &operator=(const ActiveExchange &) = delete;
 
@@ -195,7 +190,10 @@
 
     void write()
     {
-        const std::array<asio::const_buffer, 2> bufs{asio::buffer(m_request.head), asio::buffer(m_request.body)};
+        std::vector<asio::const_buffer> bufs{asio::buffer(m_request.head)};
+        if (m_request.body) {
+            m_request.body->appendTo(bufs);
+        }
         asio::async_write(m_connection->socket, bufs, [self = shared_from_this()](error_code ec, std::size_t n) {
             if (!self->m_handler) {
                 return;
@@ -217,10 +215,12 @@
 
     void read()
     {
+        m_received = 0;
         m_parser.emplace();
         m_parser->header_limit(MaxAnswerHeaderBytes);
         m_parser->body_limit(MaxAnswerBytes);
         m_parser->skip(m_request.headOnly);
+        m_parser->get().body() = MessageBody(m_state->memory, MemoryUse::Answer);
         readSome();
     }
 
@@ -238,30 +238,19 @@
 
     void onRead(error_code ec, std::size_t n)
     {
-        m_pendingBytes += n;
-        m_state->pendingBytes += n;
-        if (ec) {
+        m_received += n;
+        if (ec == asio::error::no_memory) {
+            fail(ExchangeOutcome::Lost, "answers exceed the memory limit");
+        } else if (ec) {
             m_closedByUpstream = isClose(ec) && !m_parser->got_some();
             fail(ExchangeOutcome::Lost, ec.message());
-            return;
-        }
-        if (!m_parser->is_done()) {
-            if (m_state->pendingBytes > m_state->maxPendingBytes) {
-                fail(ExchangeOutcome::Lost, "answers exceed the memory limit");
-            } else if (hasExcessiveFraming(m_pendingBytes, m_parser->get().body().size())) {
-                fail(ExchangeOutcome::Lost, "answer of framing without content");
-            } else {
-                readSome();
-            }
-            return;
+        } else if (m_parser->is_done()) {
+            onMessage();
+        } else if (hasExcessiveFraming(m_received, m_parser->get().body().size())) {
+            fail(ExchangeOutcome::Lost, "answer of framing without content");
+        } else {
+            readSome();
         }
-        releasePendingBytes();
-        onMessage();
-    }
-
-    void releasePendingBytes()
-    {
-        m_state->pendingBytes -= std::exchange(m_pendingBytes, 0);
     }
 
     void onMessage()
@@ -326,7 +315,9 @@
     {
         auto handler = std::exchange(m_handler, nullptr);
         m_timer.cancel();
-        releasePendingBytes();
+        // The memory of the bodies is needed before the owner of this exchange drops it.
+        m_parser.reset();
+        m_request.body.reset();
         handler(std::move(result));
     }
 
@@ -335,8 +326,8 @@
     Handler m_handler;
     asio::steady_timer m_timer;
     std::unique_ptr<Connection> m_connection;
-    std::optional<http::response_parser<http::string_body>> m_parser;
-    std::size_t m_pendingBytes = 0; ///< part of State::pendingBytes
+    std::optional<http::response_parser<BudgetedBody>> m_parser;
+    std::size_t m_received = 0; ///< bytes of the answer
     unsigned m_skippedAnswers = 0;
     bool m_reused = false;
     bool m_connecting = false;
@@ -345,8 +336,8 @@
 
 UpstreamConnections::UpstreamConnections(asio::io_context &context,
                                          const ForwardingHeaders &names,
-                                         std::size_t maxPendingBytes)
-    : m_state(std::make_shared<State>(State{context, names, maxPendingBytes}))
+                                         MemoryBudget &memory)
+    : m_state(std::make_shared<State>(State{context, names, memory}))
 {
 }
 
--- a/src/gateway/upstreamconnections.h
+++ b/src/gateway/upstreamconnections.h
@@ -43,14 +43,14 @@
         Endpoint address;
         std::string identity;
         std::string head; ///< request line and headers
-        std::string body;
+        std::shared_ptr<const MessageBody> body; ///< null: none
         std::string requestId;
         bool headOnly = false; ///< the answer has no body
         bool idempotent = false;
     };
 
-    /// `maxPendingBytes`: of all answers that have not arrived completely; exchanges that exceed it fail.
-    UpstreamConnections(asio::io_context &context, const ForwardingHeaders &names, std::size_t maxPendingBytes);
+    /// `memory`: for the bodies of answers. Exchanges whose answers do not fit fail.
+    UpstreamConnections(asio::io_context &context, const ForwardingHeaders &names, MemoryBudget &memory);
     ~UpstreamConnections();
     UpstreamConnections(const UpstreamConnections &) = delete;
     UpstreamConnections &operator=(const UpstreamConnections &) = delete;
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -16,7 +16,7 @@
 const Endpoint firstAddress{loopbackAddress(1), 27912};
 const Endpoint secondAddress{loopbackAddress(2), 27912};
 
-constexpr std::size_t MaxPendingBytes = 1 << 20;
+constexpr std::size_t MemoryBytes = 1 << 20;
 const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Rate", "X-Leaving"};
 
 std::shared_ptr<const RouteTable> makeTable(bool idempotent, unsigned attempts = 1)
@@ -38,8 +38,9 @@
 struct Fixture {
     using UpstreamAnswer = std::function<HttpResponse(const HttpRequest &)>;
 
-    Fixture()
-        : first(context,
+    explicit Fixture(std::size_t memoryBytes = MemoryBytes)
+        : memory(memoryBytes)
+        , first(context,
                 firstAddress,
                 {},
                 [this](HttpRequest request, CancellationPtr cancellation) {
@@ -52,8 +53,8 @@
                  [this](HttpRequest request, CancellationPtr) {
                      return answerAfter(secondAnswer, std::move(request), 0ms);
                  })
-        , forwarder(context, serviceRegistry, headers, metrics, MaxPendingBytes)
-        , callers(context, callerAddress, forwarder, serviceRegistry, headers, MaxPendingBytes)
+        , forwarder(context, serviceRegistry, headers, metrics, memory)
+        , callers(context, callerAddress, forwarder, serviceRegistry, headers, memory)
     {
         first.start();
         second.start();
@@ -140,6 +141,7 @@
         return answer ? answer->result_int() : 0;
     }
 
+    MemoryBudget memory;
     asio::io_context context{1};
     MetricsRegistry metrics;
     ServiceRegistry serviceRegistry{"palermo", {}, 1};
@@ -233,6 +235,46 @@
     }
 };
 
+/// Upstreams that take a second, and a budget for two large bodies.
+struct MemoryFixture : Fixture {
+    MemoryFixture()
+    {
+        serviceRegistry.applyRoutes(makeTable(false));
+        addUpstream("i-1", firstAddress);
+        firstDelay = 1s;
+        firstAnswer = [](const HttpRequest &request) { return signedAnswer(request, http::status::ok); };
+    }
+
+    static constexpr std::size_t LargeBodyBytes = 400 << 10;
+};
+
+/// A budget for one and a half large answers.
+struct LargeAnswerFixture : Fixture {
+    LargeAnswerFixture()
+        : Fixture(24 << 20)
+    {
+        serviceRegistry.applyRoutes(makeTable(false));
+        addUpstream("i-1", firstAddress);
+        firstAnswer = [](const HttpRequest &request) {
+            auto response = signedAnswer(request, http::status::ok);
+            response.body() = std::string(LargeAnswerBytes, 'a');
+            return response;
+        };
+    }
+
+    static constexpr std::size_t LargeAnswerBytes = 16 << 20; ///< more than the buffers of a connection take
+};
+
+/// A body in chunks of 1,000 bytes.
+std::string chunked(std::size_t chunks)
+{
+    std::string text;
+    for (std::size_t n = 0; n < chunks; ++n) {
+        text += "3e8\r\n" + std::string(1000, 'x') + "\r\n";
+    }
+    return text + "0\r\n\r\n";
+}
+
 bool contains(const std::string &text, const std::string &part)
 {
     return text.find(part) != std::string::npos;
@@ -613,3 +655,132 @@
     BOOST_TEST(notRun > 0U);
     BOOST_TEST(mayHaveRun > 0U);
 }
+
+// Guards against complete bodies that wait for slow upstreams until the process exceeds its memory.
+BOOST_FIXTURE_TEST_CASE(waitingBodiesAreBounded, MemoryFixture)
+{
+    RawCaller first(context);
+    RawCaller second(context);
+    RawCaller third(context);
+    first.sendRequest("r1", std::string(LargeBodyBytes, 'x'));
+    second.sendRequest("r2", std::string(LargeBodyBytes, 'x'));
+    first.runFor(300ms);
+    BOOST_TEST(memory.held() >= 2 * LargeBodyBytes);
+    third.sendRequest("r3", std::string(LargeBodyBytes, 'x'));
+    const auto begin = Clock::now();
+    const auto refusal = third.receive(1);
+    BOOST_TEST((Clock::now() - begin < 500ms));
+    BOOST_TEST(contains(refusal, "HTTP/1.1 503"));
+    BOOST_TEST(contains(refusal, "Retry-After: "));
+    BOOST_TEST(memory.refused(MemoryUse::Request) == 1U);
+    BOOST_TEST(contains(first.receive(1), "HTTP/1.1 200"));
+    BOOST_TEST(contains(second.receive(1), "HTTP/1.1 200"));
+    first.runFor(50ms);
+    BOOST_TEST(memory.held() == 0U);
+}
+
+// Guards against small requests that are refused because a few large ones wait.
+BOOST_FIXTURE_TEST_CASE(largeBodiesLeaveMemoryForSmallOnes, MemoryFixture)
+{
+    RawCaller first(context);
+    RawCaller second(context);
+    RawCaller third(context);
+    first.sendRequest("r1", std::string(LargeBodyBytes, 'x'));
+    second.sendRequest("r2", std::string(LargeBodyBytes, 'x'));
+    first.runFor(300ms);
+    third.sendRequest("r3", std::string(50'000, 'x'));
+    BOOST_TEST(contains(third.receive(1), "HTTP/1.1 200"));
+}
+
+// Guards against reading a body, or asking for it, that has no place in the memory.
+BOOST_FIXTURE_TEST_CASE(bodiesThatDoNotFitAreNotAskedFor, MemoryFixture)
+{
+    RawCaller caller(context);
+    caller.sendRequest("r1", std::string(2 * LargeBodyBytes, 'x'));
+    caller.runFor(300ms);
+    const std::string head = "POST /pay HTTP/1.1\r\nHost: a.example\r\nX-Id: r2\r\nX-Left: 3000\r\n"
+                             "Content-Length: 100000\r\n";
+    for (const auto *expectation : {"", "Expect: 100-continue\r\n"}) {
+        RawCaller other(context);
+        other.send(head + expectation + "\r\n");
+        const auto refusal = other.receive(1);
+        BOOST_TEST(contains(refusal, "HTTP/1.1 503"));
+        BOOST_TEST(contains(refusal, "Retry-After: "));
+        BOOST_TEST(!contains(refusal, "100 Continue"));
+    }
+}
+
+// Guards against refusing bodies for which there is room, as a bound for a part of the memory did, whether their
+// length is known or not.
+BOOST_FIXTURE_TEST_CASE(largeBodiesAreServedWhenNothingElseNeedsTheMemory, MemoryFixture)
+{
+    firstDelay = 0ms;
+    RawCaller caller(context);
+    caller.sendRequest("r1", std::string(830'000, 'x'));
+    BOOST_TEST(contains(caller.receive(1), "HTTP/1.1 200"));
+    RawCaller other(context);
+    other.send("POST /pay HTTP/1.1\r\nHost: a.example\r\nX-Id: r2\r\nX-Left: 3000\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n"
+               + chunked(830));
+    BOOST_TEST(contains(other.receive(1), "HTTP/1.1 200"));
+}
+
+// Guards against a body of unknown length that grows beyond the memory, and against losing the refusal because the
+// caller still sends.
+BOOST_FIXTURE_TEST_CASE(growingBodiesAreRefusedWhenTheMemoryIsUsedUp, MemoryFixture)
+{
+    RawCaller caller(context);
+    caller.sendRequest("r1", std::string(LargeBodyBytes, 'x'));
+    caller.runFor(300ms);
+    RawCaller other(context);
+    other.send("POST /pay HTTP/1.1\r\nHost: a.example\r\nX-Id: r2\r\nX-Left: 3000\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n"
+               + chunked(500));
+    other.runFor(100ms);
+    for (int n = 0; n < 20; ++n) {
+        other.send(chunked(100));
+        other.runFor(5ms);
+    }
+    BOOST_TEST(contains(other.receive(1), "HTTP/1.1 503"));
+    BOOST_TEST(contains(caller.receive(1), "HTTP/1.1 200"));
+}
+
+// Guards against answers that wait for callers who don't read them until the process exceeds its memory.
+BOOST_FIXTURE_TEST_CASE(answersThatWaitForSlowCallersAreCounted, LargeAnswerFixture)
+{
+    RawCaller slow(context);
+    slow.sendRequest("r1");
+    slow.runFor(1s);
+    BOOST_TEST(memory.held() >= LargeAnswerBytes);
+    BOOST_TEST(sendAndWait() == 502U);
+    BOOST_TEST(memory.refused(MemoryUse::Answer) == 1U);
+    slow.close();
+    slow.runFor(100ms);
+    BOOST_TEST(memory.held() == 0U);
+}
+
+// Guards against a copy of the body for each attempt, and against a body that is released before the last one.
+BOOST_FIXTURE_TEST_CASE(attemptsShareTheBody, MemoryFixture)
+{
+    serviceRegistry.divideRetryReserve(1);
+    const std::string body(LargeBodyBytes, 'x');
+    std::vector<std::size_t> held;
+    addUpstream("i-2", secondAddress);
+    firstDelay = 0ms;
+    firstAnswer = secondAnswer = [&](const HttpRequest &request) {
+        BOOST_TEST((request.body() == body));
+        held.push_back(memory.held());
+        if (held.size() == 2) {
+            return signedAnswer(request, http::status::ok);
+        }
+        auto response = signedAnswer(request, http::status::service_unavailable);
+        response.set(headers.notRun, "1");
+        return response;
+    };
+    RawCaller caller(context);
+    caller.sendRequest("r1", body);
+    BOOST_TEST(contains(caller.receive(1), "HTTP/1.1 200"));
+    BOOST_TEST(held == std::vector(2, LargeBodyBytes), boost::test_tools::per_element());
+    caller.runFor(50ms);
+    BOOST_TEST(memory.held() == 0U);
+}
--- a/tests/test_crashsuspects.cpp
+++ b/tests/test_crashsuspects.cpp
@@ -25,11 +25,11 @@
 // Guards against two requests that are taken for one because their texts join to the same.
 BOOST_AUTO_TEST_CASE(digestsDifferInEachPart)
 {
-    const auto digest = requestDigest("orders", "GET", "a.example", "/x", "");
-    BOOST_TEST(digest == requestDigest("orders", "GET", "a.example", "/x", ""));
-    BOOST_TEST(digest != requestDigest("orders", "GET", "a.example/", "x", ""));
-    BOOST_TEST(digest != requestDigest("orders", "GET", "a.example", "", "/x"));
-    BOOST_TEST(digest != requestDigest("quotes", "GET", "a.example", "/x", ""));
+    const auto digest = requestDigest("orders", "GET", "a.example", "/x", MessageBody());
+    BOOST_TEST(digest == requestDigest("orders", "GET", "a.example", "/x", MessageBody()));
+    BOOST_TEST(digest != requestDigest("orders", "GET", "a.example/", "x", MessageBody()));
+    BOOST_TEST(digest != requestDigest("orders", "GET", "a.example", "", std::string("/x")));
+    BOOST_TEST(digest != requestDigest("quotes", "GET", "a.example", "/x", MessageBody()));
 }
 
 // Guards against the loss of requests that merely ran on an upstream when it crashed.
--- a/tests/test_deadlyrequests.cpp
+++ b/tests/test_deadlyrequests.cpp
@@ -69,7 +69,7 @@
 /// An instance in front of upstreams that crash. Each upstream runs four requests at a time.
 struct Fixture {
     Fixture()
-        : forwarder(context, serviceRegistry, headers, metrics, MaxPendingBytes)
+        : forwarder(context, serviceRegistry, headers, metrics, memory)
     {
         serviceRegistry.divideRetryReserve(1);
         serviceRegistry.applyRoutes(makeTable(4));
@@ -121,7 +121,7 @@
         }
         CallerAnswer none;
         none.status = 0;
-        return answers.contains(id) ? answers[id] : none;
+        return answers.contains(id) ? std::move(answers[id]) : std::move(none);
     }
     std::size_t crashes() const
     {
@@ -129,6 +129,7 @@
             std::count_if(upstreams.begin(), upstreams.end(), [](const auto &it) { return it->crashed; }));
     }
 
+    MemoryBudget memory{MaxPendingBytes};
     asio::io_context context{1};
     MetricsRegistry metrics;
     ServiceRegistry serviceRegistry{"palermo", {}, 1};
--- a/tests/test_httptext.cpp
+++ b/tests/test_httptext.cpp
@@ -11,7 +11,7 @@
 
 CallerMessage parseRequest(const std::string &text)
 {
-    http::request_parser<http::string_body> parser;
+    http::request_parser<BudgetedBody> parser;
     error_code ec;
     parser.eager(true);
     parser.put(asio::buffer(text), ec);
@@ -38,7 +38,7 @@
     BOOST_TEST(head
                == "POST /a/b?c=%20 HTTP/1.1\r\nHost: h.example\r\nX-Id: 7\r\nCookie: a=b\r\nX-Deadline: 1200\r\n"
                   "X-Expect: i-1\r\nContent-Length: 3\r\n\r\n");
-    BOOST_TEST(request.body == "abc");
+    BOOST_TEST(request.body->text() == "abc");
 }
 
 // Guards against chunked bodies that are forwarded without a length, and bodies that are added to requests without one.
@@ -48,7 +48,7 @@
         parseRequest("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"),
         names,
         TimePoint());
-    BOOST_TEST(chunked.body == "ab");
+    BOOST_TEST(chunked.body->text() == "ab");
     BOOST_TEST(upstreamHead(chunked, names, "i", Milliseconds(1)).find("Content-Length: 2\r\n") != std::string::npos);
     BOOST_TEST(upstreamHead(chunked, names, "i", Milliseconds(1)).find("Transfer-Encoding") == std::string::npos);
     const auto get = makeForwardedRequest(parseRequest("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), names, TimePoint());
@@ -75,10 +75,10 @@
     message.set("X-Sig", "s");
     message.set("X-Load", "1,0,4");
     message.set(http::field::connection, "close");
-    message.body() = "whole";
+    message.body() = std::string("whole");
     const auto answer = makeCallerAnswer(std::move(message), false, names);
     BOOST_TEST(callerHead(answer, false) == "HTTP/1.1 201 Created\r\nX-Id: 7\r\nX-Sig: s\r\nContent-Length: 5\r\n\r\n");
-    BOOST_TEST(answer.body == "whole");
+    BOOST_TEST(answer.body.text() == "whole");
 }
 
 // Guards against refusals without the time after which the caller may retry.
--- a/tests/test_narrowlinks.cpp
+++ b/tests/test_narrowlinks.cpp
@@ -92,13 +92,14 @@
         BOOST_TEST(received.ends_with("\r\n\r\n" + std::string(size, 'a')));
     }
 
+    MemoryBudget memory{MaxPendingBytes};
     asio::io_context context{1};
     RawUpstream first{context, firstAddress, "X-Id"};
     RawUpstream second{context, secondAddress, "X-Id"};
     MetricsRegistry metrics;
     ServiceRegistry serviceRegistry{"palermo", {}, 1};
-    Forwarder forwarder{context, serviceRegistry, headers, metrics, MaxPendingBytes};
-    CallerServer callers{context, callerAddress, forwarder, serviceRegistry, headers, MaxPendingBytes};
+    Forwarder forwarder{context, serviceRegistry, headers, metrics, memory};
+    CallerServer callers{context, callerAddress, forwarder, serviceRegistry, headers, memory};
 };
 
 struct IdempotentFixture : Fixture {
--- a/tests/test_requestframing.cpp
+++ b/tests/test_requestframing.cpp
@@ -186,13 +186,14 @@
         upstream.close();
     }
 
+    MemoryBudget memory{MaxPendingBytes};
     MetricsRegistry metrics;
     ServiceRegistry serviceRegistry{"palermo", {}, 1};
     HttpServer upstream{context, upstreamAddress, {}, [this](HttpRequest request, CancellationPtr) {
                             return answer(std::move(request));
                         }};
-    Forwarder forwarder{context, serviceRegistry, headers, metrics, MaxPendingBytes};
-    CallerServer callers{context, callerAddress, forwarder, serviceRegistry, headers, MaxPendingBytes};
+    Forwarder forwarder{context, serviceRegistry, headers, metrics, memory};
+    CallerServer callers{context, callerAddress, forwarder, serviceRegistry, headers, memory};
 };
 
 } // namespace
--- a/tests/test_upstreamconnections.cpp
+++ b/tests/test_upstreamconnections.cpp
@@ -25,8 +25,9 @@
 }
 
 struct Fixture {
-    explicit Fixture(std::size_t maxPendingBytes = MaxPendingBytes)
-        : connections(context, headers, maxPendingBytes)
+    explicit Fixture(std::size_t memoryBytes = MaxPendingBytes)
+        : memory(memoryBytes)
+        , connections(context, headers, memory)
     {
     }
     ~Fixture()
@@ -96,6 +97,7 @@
         BOOST_TEST((exchange("r1").outcome == ExchangeOutcome::Lost));
     }
 
+    MemoryBudget memory;
     asio::io_context context{1};
     RawUpstream upstream{context, upstreamAddress, "X-Id"};
     UpstreamConnections connections;
@@ -121,8 +123,8 @@
         }
         co_await self.send(socket, answerTo(id, id == "r1" ? "first" : "second"));
     };
-    BOOST_TEST(exchange("r1").message.body() == "first");
-    BOOST_TEST(exchange("r2").message.body() == "second");
+    BOOST_TEST(exchange("r1").message.body().text() == "first");
+    BOOST_TEST(exchange("r2").message.body().text() == "second");
     BOOST_TEST(upstream.connections == 1U);
 }
 
@@ -134,9 +136,9 @@
         co_await sleepFor(20ms);
         co_await self.send(socket, answerTo(id, id));
     };
-    BOOST_TEST(exchange("r1").message.body() == "r1");
+    BOOST_TEST(exchange("r1").message.body().text() == "r1");
     run(60ms);
-    BOOST_TEST(exchange("r2").message.body() == "r2");
+    BOOST_TEST(exchange("r2").message.body().text() == "r2");
     BOOST_TEST(upstream.connections == 2U);
 }
 
@@ -146,8 +148,8 @@
     upstream.script = [](RawUpstream &self, tcp::socket &socket, std::string id) -> awaitable<void> {
         co_await self.send(socket, answerTo(id, id) + answerTo(id, id));
     };
-    BOOST_TEST(exchange("r1").message.body() == "r1");
-    BOOST_TEST(exchange("r2").message.body() == "r2");
+    BOOST_TEST(exchange("r1").message.body().text() == "r1");
+    BOOST_TEST(exchange("r2").message.body().text() == "r2");
     BOOST_TEST(upstream.connections == 2U);
 }
 
@@ -183,7 +185,7 @@
     BOOST_TEST(exchange("r1").message.result_int() == 200U);
     BOOST_TEST(upstream.connections == 2U);
     // Other requests use both connections; copies of the refusal are told apart by the identifier.
-    BOOST_TEST(exchange("r2").message.body() == "ran");
+    BOOST_TEST(exchange("r2").message.body().text() == "ran");
     BOOST_TEST(upstream.connections == 2U);
 }
 
@@ -244,7 +246,7 @@
     };
     const auto result = exchange("r1");
     BOOST_TEST((result.outcome == ExchangeOutcome::Answered));
-    BOOST_TEST(result.message.body() == "12345");
+    BOOST_TEST(result.message.body().text() == "12345");
 }
 
 // Guards against memory that fills with bytes that are no answer, which an upstream in trouble sends until its
