caller interface: no identifier is taken from an empty list

Cause: the caller interface used the first of a list of new identifiers. The list is empty once an instance has issued all identifiers of a second, so that the use was undefined behaviour.

Change: ClaimTable issues one identifier or none. A non-idempotent request without one is refused as not run (table-full), and an answer goes out without an identifier for the next request.

Measured: test_claims has a case for the limit, which could not be built before.

--- a/include/laburnumspar/claims.h
+++ b/include/laburnumspar/claims.h
@@ -75,6 +75,8 @@
 
     /// Up to `count` new identifiers; fewer beyond MaxRequestIdsPerSecond.
     std::vector<RequestId> issue(std::size_t count, TimePoint now);
+    /// One new identifier; empty beyond MaxRequestIdsPerSecond.
+    std::optional<RequestId> issueOne(TimePoint now);
     /// Claims an identifier for a request. `fingerprint` is a hash of the request; a retry must have the same one.
     ClaimResult claim(const RequestId &id, TimePoint now, std::uint64_t fingerprint = 0);
     /// Stores the result of a granted request; false if it is not in flight. Outcome::NotRun is final as well: a retry
--- a/src/claims.cpp
+++ b/src/claims.cpp
@@ -57,6 +57,12 @@
     return ids;
 }
 
+std::optional<RequestId> ClaimTable::issueOne(TimePoint now)
+{
+    const auto ids = issue(1, now);
+    return ids.empty() ? std::nullopt : std::optional(ids.front());
+}
+
 ClaimResult ClaimTable::claim(const RequestId &id, TimePoint now, std::uint64_t fingerprint)
 {
     expire(now);
--- a/src/net/callerapi.cpp
+++ b/src/net/callerapi.cpp
@@ -199,7 +199,12 @@
     if (call.requestId.empty()) {
         // Without an identifier sent by the caller a retry by the caller cannot be recognised. A non-idempotent request
         // still gets an issued identifier, so that this delivery of it runs at most once.
-        call.requestId = call.idempotent ? nextRequestId() : m_context.router.issueIds(1).front();
+        const auto id = call.idempotent ? nextRequestId() : m_context.router.issueId();
+        if (!id) {
+            detail = "the instance has issued all identifiers of this second";
+            return Reason::TableFull;
+        }
+        call.requestId = *id;
     }
     return Reason::None;
 }
@@ -230,7 +235,9 @@
         response.set("Lspar-Upstream", toString(result.upstream));
     }
     if (!call.idempotent && m_context.ready()) {
-        response.set("Lspar-Next-Request-Id", m_context.router.issueIds(1).front());
+        if (const auto id = m_context.router.issueId()) {
+            response.set("Lspar-Next-Request-Id", *id);
+        }
     }
     if (m_context.leaving()) {
         response.set("Lspar-Better", joinAddresses(rankedAddresses(call.service, m_context.zone, DefaultAddresses)));
--- a/src/net/callerrequestids.cpp
+++ b/src/net/callerrequestids.cpp
@@ -20,13 +20,12 @@
     if (m_entries.size() >= MaxEntries) {
         return std::nullopt;
     }
-    const auto issued = claims.issue(1, now);
-    if (issued.empty()) {
-        return std::nullopt;
+    const auto issued = claims.issueOne(now);
+    if (issued) {
+        m_entries.emplace(key, Entry{*issued, now});
+        m_order.push_back(key);
     }
-    m_entries.emplace(key, Entry{issued.front(), now});
-    m_order.push_back(key);
-    return issued.front();
+    return issued;
 }
 
 void CallerRequestIds::expire(TimePoint now)
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -334,6 +334,12 @@
     return m_loads.with([&](Loads &loads) { return loads.table.dump(now); });
 }
 
+std::optional<std::string> Router::issueId()
+{
+    const auto id = m_context.claims.with([](ClaimTable &claims) { return claims.issueOne(Clock::now()); });
+    return id ? std::optional(toString(*id)) : std::nullopt;
+}
+
 std::vector<std::string> Router::issueIds(std::size_t count)
 {
     const auto ids = m_context.claims.with([&](ClaimTable &claims) { return claims.issue(count, Clock::now()); });
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -40,6 +40,8 @@
     /// Issues up to `count` request identifiers owned by this instance and returns them as text. Returns fewer beyond
     /// MaxRequestIdsPerSecond.
     std::vector<std::string> issueIds(std::size_t count);
+    /// Issues one request identifier. Empty beyond MaxRequestIdsPerSecond.
+    std::optional<std::string> issueId();
 
 private:
     struct Loads {
--- a/tests/test_claims.cpp
+++ b/tests/test_claims.cpp
@@ -112,6 +112,16 @@
     BOOST_TEST(table.issue(MaxRequestIdsPerSecond, start).size() == MaxRequestIdsPerSecond - 4);
 }
 
+// Guards against the use of an identifier that was not issued because the rate limit had been reached.
+BOOST_AUTO_TEST_CASE(noIdentifierIsIssuedBeyondTheRate)
+{
+    ClaimTable table(owner, 1, start);
+    BOOST_TEST(table.issueOne(start).has_value());
+    table.issue(MaxRequestIdsPerSecond, start);
+    BOOST_TEST(!table.issueOne(start).has_value());
+    BOOST_TEST(table.issueOne(start + 1s).has_value());
+}
+
 // Guards against granting an identifier twice in any order of claims, completions, expiry and restarts of the owner.
 BOOST_AUTO_TEST_CASE(identifierIsGrantedAtMostOnce)
 {
