admin interface: the path of a check is its own parameter

Cause: the check of settings looked for "path=" anywhere in the target and took all that followed, so that errors named the value of another parameter and the parameters after it.

Change: the callers' and the operators' interface share one parser of queries.

--- a/src/net/adminapi.cpp
+++ b/src/net/adminapi.cpp
@@ -3,6 +3,7 @@
 #include "laburnumspar/errors.h"
 #include "laburnumspar/settings.h"
 #include "laburnumspar/version.h"
+#include "net/querystring.h"
 
 #include <boost/json.hpp>
 
@@ -22,13 +23,6 @@
     return jsonResponse(status, {{"error", error}});
 }
 
-// The part of the target after `key`; empty if the target does not contain it.
-std::string_view valueAfter(std::string_view target, std::string_view key)
-{
-    const auto at = target.find(key);
-    return at == std::string_view::npos ? std::string_view() : target.substr(at + key.size());
-}
-
 } // namespace
 
 AdminApi::AdminApi(Context context)
@@ -102,7 +96,7 @@
 HttpResponse AdminApi::check(const HttpRequest &request)
 {
     const std::string_view target(request.target().data(), request.target().size());
-    const std::string path(valueAfter(target, "path="));
+    const auto path = queryValue(parseQuery(target), "path");
     try {
         const auto settings = parseServiceSettings(request.body(), path.empty() ? "value" : path);
         return jsonResponse(http::status::ok, {{"valid", true}, {"effective", toToml(settings)}});
--- a/src/net/callerapi.cpp
+++ b/src/net/callerapi.cpp
@@ -1,6 +1,7 @@
 #include "net/callerapi.h"
 
 #include "laburnumspar/log.h"
+#include "net/querystring.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/json.hpp>
@@ -37,28 +38,7 @@
     return valid && !text.empty() ? std::optional(value) : std::nullopt;
 }
 
-std::map<std::string, std::string> parseQuery(std::string_view target)
-{
-    std::map<std::string, std::string> values;
-    const auto queryStart = target.find('?');
-    while (queryStart != std::string_view::npos && target.size() > queryStart) {
-        target.remove_prefix(target.find_first_of("?&") + 1);
-        const auto part = target.substr(0, target.find('&'));
-        const auto separator = part.find('=');
-        if (separator != std::string_view::npos) {
-            values.emplace(part.substr(0, separator), part.substr(separator + 1));
-        }
-        if (target.find('&') == std::string_view::npos) {
-            break;
-        }
-    }
-    return values;
-}
-
-std::size_t countParameter(const std::map<std::string, std::string> &query,
-                           const char *key,
-                           std::size_t defaultValue,
-                           std::size_t max)
+std::size_t countParameter(const QueryParameters &query, const char *key, std::size_t defaultValue, std::size_t max)
 {
     const auto it = query.find(key);
     const auto value = it == query.end() ? std::nullopt : parseNumber(it->second);
--- a/tests/fleet/commandline.sh
+++ b/tests/fleet/commandline.sh
@@ -44,3 +44,9 @@
 expect_exit 0 "." version
 "$DAEMON" print --settings "$valid_settings" >"$FLEET_DIR/printed.toml"
 expect_exit 0 "valid" check --settings "$FLEET_DIR/printed.toml"
+
+# The operator's check names the path from its own parameter, not from text inside another one.
+checked=$(curl -s -m 10 --data-binary "@$FLEET_DIR/floor.toml" \
+    "http://$(fleet_admin 0)/check?note=path=wrong&path=$SERVICE_PATH&by=test")
+[[ $checked == *"$SERVICE_PATH"* && $checked != *wrong* && $checked != *by=test* ]] \
+    || fail "the check does not name the path $SERVICE_PATH: $checked"
