membership: the removal of a dead member is a new revision

Cause: the revision grew with each change of a member, but not when a dead one was removed from the view after an hour, so that what is derived from the view and kept by revision went on with it.

Change: the removal counts as a change.

Measured: the new case of test_membership failed before (8 <= 8) and passes now.

--- a/include/laburnumspar/membership.h
+++ b/include/laburnumspar/membership.h
@@ -116,7 +116,7 @@
     /// Whether every other known member is dead. False while tick() is overdue by more than 1 s, as states are then
     /// stale.
     bool hasNoLivePeers(TimePoint now) const;
-    /// Increases whenever a member is added or restarts, or its state, zone or caller address changes.
+    /// Increases whenever a member is added, restarts or is removed, or its state, zone or caller address changes.
     std::uint64_t revision() const;
     /// Returns the state changes since the last call; only the newest 1,024 are kept.
     std::vector<MemberChange> takeChanges();
--- a/src/detail/memberlist.cpp
+++ b/src/detail/memberlist.cpp
@@ -98,6 +98,7 @@
     for (auto it = m_members.begin(); it != m_members.end();) {
         updateState(it->first, it->second, now);
         const bool expired = it->second.state == MemberState::Dead && now - it->second.lastSeenAt > DeadRetention;
+        m_revision += expired ? 1 : 0;
         it = expired ? m_members.erase(it) : std::next(it);
     }
 }
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -199,6 +199,19 @@
     BOOST_TEST(net.countObservers(4, MemberState::Dead) == 39U);
 }
 
+// Guards against decisions that go on with a member of the past, because its removal from the view is no new revision.
+BOOST_AUTO_TEST_CASE(removalOfADeadMemberIsANewRevision)
+{
+    auto net = convergedNet(3);
+    net[2].running = false;
+    net.run(1min);
+    BOOST_CHECK(net.state(0, 2) == MemberState::Dead);
+    const auto revision = net.at(0).revision();
+    net.run(1h);
+    BOOST_TEST(!net.at(0).member(net[2].id, net.now()).has_value());
+    BOOST_TEST(net.at(0).revision() > revision);
+}
+
 // Guards against an outdated platform list that overrides what the members themselves report.
 BOOST_AUTO_TEST_CASE(platformListDoesNotOverrideMembers)
 {
