--- a/src/detail/deadlinequeue.cpp
+++ b/src/detail/deadlinequeue.cpp
@@ -49,11 +49,6 @@
     }
 }
 
-const QueueKey &DeadlineQueue::firstKey() const
-{
-    return m_groups.begin()->second.begin()->first;
-}
-
 std::uint64_t DeadlineQueue::first() const
 {
     return m_groups.begin()->second.begin()->second;
--- a/src/detail/deadlinequeue.h
+++ b/src/detail/deadlinequeue.h
@@ -46,8 +46,6 @@
     {
         return m_size;
     }
-    /// Key of the request with the earliest deadline. The queue must not be empty.
-    const QueueKey &firstKey() const;
     /// Ticket with the latest deadline. The queue must not be empty.
     std::uint64_t last() const;
     /// The first `limit` tickets.
