tests: the cases of the caller server in three programs, their fixtures once

Cause: test_callerserver.cpp had 833 lines with three subjects, a second RawCaller beside rawcaller.h, and routes and upstreams that two other tests repeated.

Change: test_callerserver (the way of a request), test_callersessions (kept connections, end of an instance) and test_bodymemory; they share callerserverfixture.h and one RawCaller. routingsupport.h has the routes and upstreams of all tests of the request path. The cases and their checks are the same: 33 cases, 114 lines with a check or a macro of the framework.

Measured: the three programs, test_narrowlinks, test_deadlyrequests and test_httpserver pass.

--- a/tests/rawcaller.h
+++ b/tests/rawcaller.h
@@ -29,6 +29,31 @@
         return !ec || ec == detail::asio::error::would_block;
     }
 
+    /// Sends all of a text, and runs the servers while the connection takes no more, for at most `MaxWait`.
+    void sendAll(std::string_view text)
+    {
+        const auto end = Clock::now() + MaxWait;
+        for (std::size_t at = 0; at < text.size() && Clock::now() < end;) {
+            const auto before = sent;
+            if (!send(text.substr(at))) {
+                return;
+            }
+            at += sent - before;
+            if (sent == before) {
+                run(Milliseconds(1));
+            }
+        }
+    }
+
+    void closeSendingSide()
+    {
+        m_socket.shutdown(detail::tcp::socket::shutdown_send);
+    }
+    void close()
+    {
+        m_socket.close();
+    }
+
     /// Sends `text` again and again for `time`, or until the server closes the connection.
     void sendWithoutEnd(const std::string &text, Milliseconds time)
     {
@@ -51,10 +76,38 @@
         return m_received;
     }
 
+    /// Runs the servers until the heads of this many answers have arrived, for at most `MaxWait`. Returns all that the
+    /// server has sent so far.
+    const std::string &receiveAnswers(unsigned answers)
+    {
+        const auto end = Clock::now() + MaxWait;
+        while (countAnswers() < answers && Clock::now() < end) {
+            receive(Milliseconds(10));
+        }
+        return m_received;
+    }
+
+    void runFor(Milliseconds time)
+    {
+        run(time);
+    }
+
     std::size_t sent = 0; ///< bytes
     bool closed = false; ///< by the server, as seen by receive()
 
 private:
+    static constexpr std::chrono::seconds MaxWait{5};
+
+    unsigned countAnswers() const
+    {
+        constexpr std::string_view StatusLine = "HTTP/1.1 ";
+        unsigned n = 0;
+        for (auto at = m_received.find(StatusLine); at != std::string::npos; at = m_received.find(StatusLine, at + 1)) {
+            ++n;
+        }
+        return n;
+    }
+
     void run(Milliseconds time)
     {
         m_context.restart();
--- a/tests/test_deadlyrequests.cpp
+++ b/tests/test_deadlyrequests.cpp
@@ -1,6 +1,7 @@
 #include "gateway/forwarder.h"
 #include "loopback.h"
 #include "rawupstream.h"
+#include "routingsupport.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,22 +15,6 @@
 constexpr std::uint16_t UpstreamPort = 27951;
 constexpr std::size_t MaxPendingBytes = 1 << 20;
 constexpr Milliseconds ServiceTime{30};
-const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Rate", "X-Leaving"};
-
-std::shared_ptr<const RouteTable> makeTable(unsigned attempts)
-{
-    Route route;
-    route.name = "all";
-    route.host = "a.example";
-    route.prefix = "/";
-    route.targets = {{"orders", 1}};
-    route.idempotent = true;
-    route.attempts = attempts;
-    RouteTable::Builder builder(1);
-    builder.service("orders", {"/healthz", 0});
-    builder.route(route);
-    return builder.build();
-}
 
 /// An upstream that ends, with all that runs on it, when it gets a request whose identifier begins with "deadly".
 class CrashingUpstream
@@ -72,17 +57,11 @@
         : forwarder(context, serviceRegistry, headers, metrics, memory)
     {
         serviceRegistry.divideRetryReserve(1);
-        serviceRegistry.applyRoutes(makeTable(4));
+        serviceRegistry.applyRoutes(makeTable(true, 4));
         for (std::size_t n = 0; n < UpstreamCount; ++n) {
             const Endpoint address{loopbackAddress(unsigned(n)), UpstreamPort};
             upstreams.push_back(std::make_unique<CrashingUpstream>(context, address));
-            RegisteredUpstream entry;
-            entry.id = "i-" + std::to_string(n);
-            entry.service = "orders";
-            entry.address = address;
-            entry.zone = "palermo";
-            entry.slots = 4;
-            serviceRegistry.putUpstream(entry, Clock::now());
+            registerUpstream(serviceRegistry, "i-" + std::to_string(n), address);
         }
     }
     ~Fixture()
--- a/tests/test_narrowlinks.cpp
+++ b/tests/test_narrowlinks.cpp
@@ -2,6 +2,7 @@
 #include "loopback.h"
 #include "rawcaller.h"
 #include "rawupstream.h"
+#include "routingsupport.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,33 +16,17 @@
 const Endpoint firstAddress{loopbackAddress(1), 27992};
 const Endpoint secondAddress{loopbackAddress(2), 27992};
 constexpr std::size_t MaxPendingBytes = 8 << 20;
-const ForwardingHeaders headers{"X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Rate", "X-Leaving"};
 /// A link at 1% of 1,000 Mbit/s that twelve connections share: about 100 kB/s for each.
 constexpr std::size_t PartBytes = 2000;
 constexpr Milliseconds PartInterval{20};
 
-std::shared_ptr<const RouteTable> makeTable(bool idempotent)
-{
-    Route route;
-    route.name = "all";
-    route.host = "a.example";
-    route.prefix = "/";
-    route.targets = {{"orders", 1}};
-    route.idempotent = idempotent;
-    route.attempts = idempotent ? 2 : 1;
-    RouteTable::Builder builder(1);
-    builder.service("orders", {"/healthz", 0});
-    builder.route(route);
-    return builder.build();
-}
-
 /// Two upstreams behind narrow links.
 struct Fixture {
     explicit Fixture(bool idempotent = false)
     {
-        serviceRegistry.applyRoutes(makeTable(idempotent));
-        addUpstream("i-1", firstAddress);
-        addUpstream("i-2", secondAddress);
+        serviceRegistry.applyRoutes(makeTable(idempotent, idempotent ? 2 : 1));
+        registerUpstream(serviceRegistry, "i-1", firstAddress);
+        registerUpstream(serviceRegistry, "i-2", secondAddress);
         first.script = second.script = answerInParts(200'000);
         callers.start();
     }
@@ -54,17 +39,6 @@
         context.run_for(50ms);
     }
 
-    void addUpstream(const std::string &id, const Endpoint &address)
-    {
-        RegisteredUpstream upstream;
-        upstream.id = id;
-        upstream.service = "orders";
-        upstream.address = address;
-        upstream.zone = "palermo";
-        upstream.slots = 4;
-        serviceRegistry.putUpstream(upstream, Clock::now());
-    }
-
     static RawUpstream::Script answerInParts(std::size_t size)
     {
         return [size](RawUpstream &self, tcp::socket &socket, std::string id) -> awaitable<void> {
