demo: builds only the programs that it runs

Cause: scripts/demo.sh built all tests, fuzzers and benchmarks before it started a fleet.

Change: scripts/build.sh takes the programs to build from TARGETS; the demo names its four.

--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Configures and builds everything in build/ (or in the directory named by BUILD_DIR).
+# Configures the project in build/ (or in the directory named by BUILD_DIR) and builds everything, or the programs named
+# in TARGETS. Arguments go to the configuration.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
@@ -7,4 +8,5 @@
 export CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime
 export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 cmake -S . -B "$build" -G Ninja "$@" >"/dev/null"
-cmake --build "$build" -j "${JOBS:-10}"
+read -r -a targets <<<"${TARGETS:-all}"
+cmake --build "$build" -j "${JOBS:-10}" --target "${targets[@]}"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/setup.sh
-scripts/build.sh
+TARGETS="laburnumspar lspar-load lspar-platform lspar-upstream" scripts/build.sh
 # shellcheck source=scripts/fleet.sh
 source scripts/fleet.sh
 trap fleet_cleanup EXIT
