platform: one table of rules decides what a settings value must be

The settings file had a reader of its own. A flag, a list or a table of another type was taken for a missing one, a number out of range was cut to it, an empty name, an address that is not IPv4 and port 0 were accepted: an instance then ran with a default, or failed later.

The rule of a field and the decision whether a value keeps it are now independent of the format of the document (detail/fieldrule.h), and platform/fields.h lists the fields of the settings file by their paths. A value of another type or out of range is a SettingsError with file, line, path and what is required. Unknown keys are still ignored.

--- a/fuzz/fuzz_platformadapter.cpp
+++ b/fuzz/fuzz_platformadapter.cpp
@@ -2,7 +2,6 @@
 
 #include "laburnumspar/errors.h"
 #include "platform/adapter.h"
-#include "platform/settingsfile.h"
 
 #include <boost/json.hpp>
 
@@ -81,6 +80,5 @@
     decodeAny([&] { adapter.decodePage(text, 1); });
     decodeAny([&] { adapter.decodeEra(text); });
     decodeAny([&] { adapter.decodeAddressQuery(text); });
-    decodeAny([&] { platform::parseSettings(text, "fuzz"); });
     return buf.size() < 2 || rejectsWrongField(buf[0], buf[1]);
 }
--- a/src/detail/jsonfields.cpp
+++ b/src/detail/jsonfields.cpp
@@ -3,9 +3,6 @@
 #include "laburnumspar/errors.h"
 #include "laburnumspar/settings.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace laburnumspar::detail {
 
 namespace {
@@ -24,83 +21,21 @@
     return *value;
 }
 
-std::string describe(const FieldRule &rule)
+FieldValue fieldValue(const boost::json::value &value)
 {
-    const auto range = [&rule] {
-        return " from " + std::to_string(std::uint64_t(rule.min)) + " to " + std::to_string(std::uint64_t(rule.max));
-    };
-    switch (rule.type) {
-    case FieldType::Text:
-        break;
-    case FieldType::Address:
-        return "an IP address with a port from 1 to 65535";
-    case FieldType::Number:
-        return "a number" + range();
-    case FieldType::WholeNumber:
-        return "a whole number" + range();
-    case FieldType::Boolean:
-        return "true or false";
-    case FieldType::Array:
-        return "an array";
-    case FieldType::Object:
-        return "an object";
-    }
-    if (rule.words.empty()) {
-        return "a string of" + range() + " bytes";
+    if (const auto *text = value.if_string()) {
+        return std::string_view(text->data(), text->size());
     }
-    std::string words = "one of";
-    for (const auto &it : rule.words) {
-        words += ' ';
-        words += it;
+    if (const auto *array = value.if_array()) {
+        return ElementCount{FieldType::Array, array->size()};
     }
-    return words;
-}
-
-bool isNumber(const boost::json::value &value, const FieldRule &rule)
-{
-    if (!value.is_number()) {
-        return false;
+    if (const auto *object = value.if_object()) {
+        return ElementCount{FieldType::Object, object->size()};
     }
-    const auto number = value.to_number<double>();
-    const bool inRange = number >= rule.min && number <= rule.max;
-    return inRange && (rule.type == FieldType::Number || std::floor(number) == number);
-}
-
-bool isText(const boost::json::value &value, const FieldRule &rule)
-{
-    const auto *text = value.if_string();
-    if (text == nullptr || double(text->size()) < rule.min || double(text->size()) > rule.max) {
-        return false;
-    }
-    const std::string_view word{text->data(), text->size()};
-    return rule.words.empty() || std::find(rule.words.begin(), rule.words.end(), word) != rule.words.end();
-}
-
-bool isAddress(const boost::json::value &value)
-{
-    const auto *text = value.if_string();
-    const auto endpoint = text != nullptr ? parseEndpoint({text->data(), text->size()}) : std::nullopt;
-    return endpoint && endpoint->port != 0;
-}
-
-bool keepsRule(const boost::json::value &value, const FieldRule &rule)
-{
-    switch (rule.type) {
-    case FieldType::Text:
-        return isText(value, rule);
-    case FieldType::Address:
-        return isAddress(value);
-    case FieldType::Number:
-    case FieldType::WholeNumber:
-        return isNumber(value, rule);
-    case FieldType::Boolean:
-        return value.is_bool();
-    case FieldType::Array:
-        return value.is_array();
-    case FieldType::Object:
-        return value.is_object();
+    if (const auto *flag = value.if_bool()) {
+        return *flag;
     }
-    return false;
+    return value.is_number() ? FieldValue(value.to_number<double>()) : FieldValue();
 }
 
 } // namespace
@@ -114,7 +49,7 @@
         }
         return nullptr;
     }
-    if (!keepsRule(*value, rule)) {
+    if (!keepsRule(fieldValue(*value), rule)) {
         throw DecodeError("field " + quoted(rule.name) + " must be " + describe(rule));
     }
     return value;
--- a/src/detail/jsonfields.h
+++ b/src/detail/jsonfields.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "detail/fieldrule.h"
 #include "laburnumspar/types.h"
 
 #include <boost/json.hpp>
 
 #include <cstdint>
-#include <limits>
 #include <optional>
 #include <span>
 #include <string>
@@ -16,34 +16,6 @@
 // Validated access to the members of a JSON document. All functions but stateName() throw DecodeError, whose message
 // names the member that is missing or invalid.
 
-enum class FieldType : std::uint8_t {
-    Text,
-    Address, ///< text of the form IP:PORT, with a port above 0
-    Number,
-    WholeNumber,
-    Boolean,
-    Array,
-    Object,
-};
-
-enum class Presence : std::uint8_t {
-    Required,
-    Optional, ///< may also be null
-};
-
-/// The largest whole number up to which a double holds all of them exactly.
-inline constexpr double MaxExactNumber = 9007199254740992; // 2^53
-
-/// What a member of an object has to be.
-struct FieldRule {
-    std::string_view name;
-    FieldType type = FieldType::Text;
-    Presence presence = Presence::Required;
-    double min = 0; ///< smallest number, or shortest text in bytes
-    double max = MaxExactNumber; ///< largest number, or longest text in bytes
-    std::span<const std::string_view> words{}; ///< texts that are allowed; empty: any
-};
-
 /// Returns the member if it keeps the rule, or null if it is optional and missing.
 const boost::json::value *checkedMember(const boost::json::object &object, const FieldRule &rule);
 /// Checks the members that the rules name. Others may be there, too.
--- a/tests/test_platformadapter.cpp
+++ b/tests/test_platformadapter.cpp
@@ -1,4 +1,5 @@
 #include "platform/adapter.h"
+#include "platform/fields.h"
 #include "platform/settingsfile.h"
 
 #include "detail/tomlsection.h"
@@ -8,7 +9,12 @@
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
 #include <map>
+#include <optional>
+#include <sstream>
 
 using namespace laburnumspar;
 
@@ -35,10 +41,12 @@
 node_name = "front-1"
 ip = "10.1.0.35"
 zone = "palermo"
+bootstrap = true
 unknown = 1
 [self.limits]
 cpu_share = 0.2
 cpus = 1
+memory_mb = 260
 [network]
 seeds = ["10.1.0.35:8146"]
 [network.listen]
@@ -49,13 +57,91 @@
 [network.zones]
 palermo = "sicilia"
 catania = "sicilia"
+[platform]
+heartbeat_s = 1.5
 [platform.platform]
 addr = "10.200.1.7:8142"
 [terms.bounds]
 grace_s = 6
+ttl_max_s = 5
+retry_ratio = 0.2
+retry_window_s = 10
 retry_slack = 58
 )";
 
+using platform::fields::FieldRule;
+using platform::fields::FieldType;
+using platform::fields::Presence;
+
+/// The sample settings with another value, or without one if `value` is null. Parses the text that results, so that
+/// values have lines.
+toml::table withValue(std::string_view path, const toml::node *value)
+{
+    auto root = toml::parse(settingsText);
+    toml::table *table = &root;
+    for (auto dot = path.find('.'); dot != std::string_view::npos; dot = path.find('.')) {
+        table = table->get_as<toml::table>(path.substr(0, dot));
+        path.remove_prefix(dot + 1);
+    }
+    if (value == nullptr) {
+        table->erase(path);
+    } else {
+        table->insert_or_assign(path, *value);
+    }
+    return root;
+}
+
+/// The error with which the settings are rejected; none if they are accepted.
+std::optional<SettingsError> rejection(const toml::table &settings)
+{
+    std::ostringstream text;
+    text << toml::toml_formatter(settings);
+    try {
+        platform::parseSettings(text.str(), "local.toml");
+    } catch (const SettingsError &e) {
+        return e;
+    }
+    return std::nullopt;
+}
+
+/// Whether settings without the field, or without the table, are invalid.
+bool requiresField(std::string_view path)
+{
+    const auto &all = platform::fields::settings::All;
+    return std::any_of(all.begin(), all.end(), [path](const FieldRule &it) {
+        const bool isAffected = it.name == path || it.name.starts_with(std::string(path) + '.');
+        return isAffected && it.presence == Presence::Required;
+    });
+}
+
+/// Values that break the rule. Numbers and texts are those next to its bounds.
+toml::array wrongValues(const FieldRule &rule)
+{
+    toml::array values{toml::date{2026, 1, 1}};
+    const auto addUnless = [&](bool valid, auto value) {
+        if (!valid) {
+            values.push_back(std::move(value));
+        }
+    };
+    const bool isNumber = rule.type == FieldType::Number || rule.type == FieldType::WholeNumber;
+    const bool isText = !isNumber && rule.type < FieldType::Boolean;
+    addUnless(rule.type == FieldType::Boolean, true);
+    addUnless(rule.type == FieldType::Array, toml::array{1, 2});
+    addUnless(rule.type == FieldType::Object, toml::table{{"a", 1}});
+    addUnless(rule.type == FieldType::Text, "text");
+    addUnless(isNumber, 1);
+    addUnless(false, std::numeric_limits<double>::quiet_NaN());
+    addUnless(!isNumber, std::nextafter(rule.max, HUGE_VAL));
+    addUnless(!isNumber, std::nextafter(rule.min, -HUGE_VAL));
+    addUnless(!isText || rule.min == 0, "");
+    addUnless(rule.type != FieldType::Address, "10.1.0.35:0");
+    addUnless(rule.type != FieldType::Address, "10.1.0.35:65536");
+    addUnless(rule.type != FieldType::Ipv4Address, "0.0.0.0");
+    addUnless(rule.type != FieldType::Ipv4Address, "224.0.0.1");
+    addUnless(rule.type != FieldType::Ipv4Address, "fd00::1");
+    return values;
+}
+
 } // namespace
 
 // Guards against columns that are read by position instead of by name, and times in the wrong unit.
@@ -240,6 +326,72 @@
     BOOST_CHECK_THROW(platform::parseSettings(wrong, "local.toml"), SettingsError);
 }
 
+// Guards against settings of another type or out of range that are replaced by a default without a word: each field of
+// the table is left out, and set to each value that its rule forbids.
+BOOST_AUTO_TEST_CASE(settingsKeepTheirRules)
+{
+    BOOST_TEST(!rejection(toml::parse(settingsText)));
+    for (const auto &rule : platform::fields::settings::All) {
+        const std::string path(rule.name);
+        BOOST_TEST_INFO(path << " missing");
+        const auto missing = rejection(withValue(path, nullptr));
+        BOOST_TEST(missing.has_value() == requiresField(path));
+        if (missing) {
+            BOOST_TEST(missing->key().starts_with(path));
+            BOOST_TEST(missing->line() == 0U);
+        }
+        for (const auto &value : wrongValues(rule)) {
+            std::ostringstream text;
+            value.visit([&text](const auto &it) { text << it; });
+            BOOST_TEST_INFO(path << " = " << text.str());
+            const auto wrong = rejection(withValue(path, &value));
+            BOOST_TEST(wrong.has_value());
+            if (wrong) {
+                BOOST_TEST(wrong->key() == path);
+                BOOST_TEST(wrong->file() == "local.toml");
+                BOOST_TEST(wrong->line() > 0U);
+                BOOST_TEST(wrong->expected().find(detail::describe(rule)) != std::string::npos);
+            }
+        }
+    }
+}
+
+// Guards against elements of lists that are not checked, and lists without a limit.
+BOOST_AUTO_TEST_CASE(listsOfSettingsKeepTheirRules)
+{
+    for (const auto &element : toml::array{7, "", "host:1", "10.1.0.35:0", toml::array{"10.1.0.35:8146"}}) {
+        toml::array seeds{"10.1.0.35:8146"};
+        seeds.push_back(element);
+        const auto error = rejection(withValue("network.seeds", &seeds));
+        BOOST_TEST(error.has_value());
+        BOOST_TEST((!error || error->key() == "network.seeds"));
+    }
+    toml::array seeds;
+    for (unsigned n = 0; n <= platform::fields::settings::MaxSeeds; ++n) {
+        seeds.push_back("10.1.0.35:8146");
+    }
+    BOOST_TEST(rejection(withValue("network.seeds", &seeds)).has_value());
+    toml::table zones;
+    for (unsigned n = 0; n <= platform::fields::settings::MaxZones; ++n) {
+        zones.insert("zone-" + std::to_string(n), "region");
+    }
+    BOOST_TEST(rejection(withValue("network.zones", &zones)).has_value());
+}
+
+// Guards against sound settings that are rejected for how their numbers are written, or for values at the bounds.
+BOOST_AUTO_TEST_CASE(soundSettingsAreAccepted)
+{
+    for (const auto &rule : platform::fields::settings::All) {
+        if (rule.type == FieldType::Number) {
+            for (const double number : {rule.min, rule.max}) {
+                const toml::value<double> value(number);
+                BOOST_TEST_INFO(rule.name << " = " << number);
+                BOOST_TEST(!rejection(withValue(rule.name, &value)));
+            }
+        }
+    }
+}
+
 // Guards against effective settings that differ from what was read, or that are invalid TOML for names which need
 // escaping.
 BOOST_AUTO_TEST_CASE(effectiveSettingsArePrinted)
