platform: an entry whose key is longer than 255 bytes names no upstream

Messages between instances carry keys of at most 255 bytes, but an entry of another writer with a longer key was taken for one of an upstream. It came into the copy of the store, and from then on each answer to a pull and each message with an observation of that upstream failed with an EncodeError.

test_oddentries failed before: the keys of 256 and 5,000 bytes were used as upstreams, and encodeChanges() of the copy threw.

--- a/tests/test_oddentries.cpp
+++ b/tests/test_oddentries.cpp
@@ -1,3 +1,4 @@
+#include "gateway/groupmessages.h"
 #include "lspar-soak/faultproxy.h"
 #include "lspar-soak/simulatedstore.h"
 #include "storefleet.h"
@@ -65,7 +66,8 @@
                                        "servers/i\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
                                        "servers/a b",
                                        std::string("servers/a\0b", 11),
-                                       "servers/\xc3\xa9"};
+                                       "servers/\xc3\xa9",
+                                       "servers/" + std::string(300, 'k')};
 
 const std::string config
     = R"({"version":"r1","routes":{"columns":["name","host","prefix","kind","service"],"rows":[["look","a.example","/",
@@ -133,6 +135,23 @@
     expectKnown({"a-first", "later", "z-last"});
 }
 
+// Guards against a key that messages between instances cannot carry: every answer to a pull failed with it, and so did
+// each message with an observation of its upstream.
+BOOST_AUTO_TEST_CASE(longKeysNameNoUpstream)
+{
+    const auto adapter = platform::makeAdapter();
+    detail::ServiceRegistry registry("palermo", {}, 1);
+    detail::StoreCopy copy(adapter, registry);
+    const std::string prefix = adapter.upstreamPrefix;
+    for (const auto length : {255U, 256U, 5000U}) {
+        const auto key = prefix + std::string(length - prefix.size(), 'k');
+        copy.applyChanges({{{key, makeEntry("10.0.0.1:80"), {0, length}}}, false, {0, length}}, {}, Clock::now());
+        BOOST_TEST(adapter.upstreamIdFromKey(key).empty() == (length > 255));
+    }
+    BOOST_TEST(registry.upstreams().records().size() == 1U);
+    BOOST_TEST(detail::decodeChanges(detail::encodeChanges(copy.changesAfter({}))).items.size() == 1U);
+}
+
 // Guards against a value that is no base64, which makes the whole page unreadable.
 BOOST_AUTO_TEST_CASE(unreadableValuesDoNotSpoilThePage)
 {
