gateway: one table of rules for the fields of messages between instances

Messages between instances were checked where they were decoded, with limits of lengths only; numbers that no instance sends were accepted (address 0.0.0.0, incarnation 0, capacity 0, a revision above 2^53, a limited rate that is not known, empty names), and errors did not say which field was wrong. An observation with a name over 255 bytes made the whole heartbeat fail when it was encoded.

Each field has a rule with its type and range (gateway/groupfields.h), which is checked when the field is written and when it is read. An error names the field. An observation that cannot be written is left out. The layout is the same.

test_groupmessages tries each field missing, cut and next to the bounds of its rule.

--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -2,6 +2,7 @@
 
 #include "detail/codec.h"
 #include "gateway/compression.h"
+#include "gateway/groupfields.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -13,12 +14,6 @@
 
 constexpr std::uint32_t HeartbeatMagic = 0x4c424735; // "LBG5"
 constexpr std::uint32_t ChangesMagic = 0x4c424d33; // "LBM3"
-constexpr std::size_t MaxIdLength = 255;
-constexpr unsigned MaxCount = 255;
-constexpr std::size_t MaxKeyLength = 255;
-constexpr std::size_t MaxItemBytes = 1 << 20;
-constexpr std::size_t MaxItems = 1'000'000;
-
 std::uint32_t encodeAddress(const std::string &ip)
 {
     boost::system::error_code ec;
@@ -29,38 +24,59 @@
     return address.to_uint();
 }
 
-std::uint8_t zoneIndex(const std::string &zone, const std::vector<std::string> &zones)
-{
-    return std::uint8_t(std::find(zones.begin(), zones.end(), zone) - zones.begin());
-}
-
-std::string zoneName(std::uint8_t index, const std::vector<std::string> &zones)
+/// The rule of zone indices among these zones.
+WireRule zoneRule(const std::vector<std::string> &zones)
 {
-    if (index >= zones.size()) {
-        throw DecodeError("unknown availability zone index " + std::to_string(index));
-    }
-    return zones[index];
+    requireInvariant(!zones.empty(), "an instance knows at least its own availability zone");
+    auto rule = wire::instance::Zone;
+    rule.max = std::min<std::uint64_t>(rule.max, zones.size() - 1);
+    return rule;
 }
 
 /// Writes address, zone, incarnation, role and capacity of an instance.
 void saveIdentity(OutputArchive &ar, const InstanceStatus &status, const std::vector<std::string> &zones)
 {
-    ar(encodeAddress(status.ip),
-       zoneIndex(status.zone, zones),
-       status.incarnation,
-       std::uint8_t(status.role),
-       status.capacity);
+    namespace fields = wire::instance;
+    saveField(ar, fields::Address, encodeAddress(status.ip));
+    const auto zone = std::find(zones.begin(), zones.end(), status.zone) - zones.begin();
+    saveField(ar, zoneRule(zones), std::uint64_t(zone));
+    saveField(ar, fields::Incarnation, status.incarnation);
+    saveField(ar, fields::Role, std::uint64_t(status.role));
+    saveField(ar, fields::Capacity, status.capacity);
 }
 
 void loadIdentity(InputArchive &ar, InstanceStatus &status, const std::vector<std::string> &zones)
 {
-    std::uint32_t address = 0;
-    std::uint8_t zone = 0;
-    std::uint8_t role = 0;
-    ar(address, zone, status.incarnation, role, status.capacity);
-    status.ip = boost::asio::ip::address_v4(address).to_string();
-    status.zone = zoneName(zone, zones);
-    status.role = checkedEnum<InstanceRole>(role);
+    namespace fields = wire::instance;
+    status.ip = boost::asio::ip::address_v4(std::uint32_t(loadField(ar, fields::Address))).to_string();
+    status.zone = zones[loadField(ar, zoneRule(zones))];
+    status.incarnation = loadField(ar, fields::Incarnation);
+    status.role = InstanceRole(loadField(ar, fields::Role));
+    status.capacity = std::uint16_t(loadField(ar, fields::Capacity));
+}
+
+void saveSender(OutputArchive &ar, const InstanceStatus &sender, const std::vector<std::string> &zones)
+{
+    namespace fields = wire::sender;
+    saveIdentity(ar, sender, zones);
+    saveField(ar, fields::Load, sender.load);
+    saveField(ar, fields::Era, sender.storeRevision.era);
+    saveField(ar, fields::Revision, sender.storeRevision.number);
+    saveField(ar, fields::StoreAge, sender.storeAgeMs);
+    saveField(ar, fields::FleetStoreAge, sender.fleetStoreAgeMs);
+    saveField(ar, fields::Digest, sender.storeDigest);
+}
+
+void loadSender(InputArchive &ar, InstanceStatus &sender, const std::vector<std::string> &zones)
+{
+    namespace fields = wire::sender;
+    loadIdentity(ar, sender, zones);
+    sender.load = std::uint16_t(loadField(ar, fields::Load));
+    sender.storeRevision.era = loadField(ar, fields::Era);
+    sender.storeRevision.number = loadField(ar, fields::Revision);
+    sender.storeAgeMs = std::uint32_t(loadField(ar, fields::StoreAge));
+    sender.fleetStoreAgeMs = std::uint32_t(loadField(ar, fields::FleetStoreAge));
+    sender.storeDigest = std::uint32_t(loadField(ar, fields::Digest));
 }
 
 /// Encodes an age in milliseconds, at most 65,535.
@@ -74,29 +90,34 @@
 
 void saveSuspect(OutputArchive &ar, const SuspectReport &suspect)
 {
-    ar(suspect.request,
-       suspect.answerAge ? std::min(encodeAge(*suspect.answerAge), std::uint16_t(NoAnswer - 1)) : NoAnswer);
+    namespace fields = wire::suspect;
+    saveField(ar, fields::Request, suspect.request);
+    saveField(ar,
+              fields::AnswerAge,
+              suspect.answerAge ? std::min(encodeAge(*suspect.answerAge), std::uint16_t(NoAnswer - 1)) : NoAnswer);
     const auto crashes = std::min(suspect.crashes.size(), CrashSuspects::MaxCrashes);
-    saveLength(ar, crashes, CrashSuspects::MaxCrashes);
+    saveField(ar, fields::Crashes, crashes);
     for (std::size_t n = 0; n < crashes; ++n) {
         const auto &it = suspect.crashes[n];
-        ar(it.process, encodeAge(it.age), std::uint8_t(it.refuted));
+        saveField(ar, wire::crash::Process, it.process);
+        saveField(ar, wire::crash::Age, encodeAge(it.age));
+        saveField(ar, wire::crash::Refuted, it.refuted ? 1 : 0);
     }
 }
 
 void loadSuspect(InputArchive &ar, SuspectReport &suspect)
 {
-    suspect.request = loadNumber<RequestDigest>(ar);
-    const auto age = loadNumber<std::uint16_t>(ar);
+    namespace fields = wire::suspect;
+    suspect.request = loadField(ar, fields::Request);
+    const auto age = loadField(ar, fields::AnswerAge);
     if (age != NoAnswer) {
         suspect.answerAge = Milliseconds(age);
     }
-    suspect.crashes.resize(loadLength(ar, CrashSuspects::MaxCrashes));
+    suspect.crashes.resize(loadCount(ar, fields::Crashes));
     for (auto &it : suspect.crashes) {
-        it.process = loadNumber<ProcessDigest>(ar);
-        it.age = Milliseconds(loadNumber<std::uint16_t>(ar));
-        BoolField refuted{it.refuted};
-        ar(refuted);
+        it.process = loadField(ar, wire::crash::Process);
+        it.age = Milliseconds(loadField(ar, wire::crash::Age));
+        it.refuted = loadField(ar, wire::crash::Refuted) == 1;
     }
 }
 
@@ -125,18 +146,90 @@
 
 void loadNotice(InputArchive &ar, UpstreamPool::Observation &counts)
 {
-    const auto bits = loadNumber<std::uint8_t>(ar);
-    if (bits > (LeavingBit | RateKnownBit | LimitedBit)) {
-        throw DecodeError("unknown notice of an upstream: " + std::to_string(bits));
+    const auto bits = loadField(ar, wire::observation::Notice);
+    const bool rateKnown = (bits & RateKnownBit) != 0;
+    const bool limited = (bits & LimitedBit) != 0;
+    if (limited && !rateKnown) {
+        throw DecodeError("field \"" + std::string(wire::observation::Notice.name)
+                          + "\" must not limit a rate that is not known");
     }
     counts.leaving = (bits & LeavingBit) != 0;
-    if ((bits & LimitedBit) != 0) {
-        counts.requestRate = double(loadNumber<std::uint32_t>(ar)) / RateScale;
-    } else if ((bits & RateKnownBit) != 0) {
+    if (limited) {
+        counts.requestRate = double(loadField(ar, wire::observation::Rate)) / RateScale;
+    } else if (rateKnown) {
         counts.requestRate = UpstreamNotice::Unlimited;
     }
 }
 
+void saveObservation(OutputArchive &ar, const UpstreamObservation &observation)
+{
+    namespace fields = wire::observation;
+    const auto &counts = observation.counts;
+    saveText(ar, fields::Service, observation.service);
+    saveText(ar, fields::Upstream, counts.id);
+    saveField(ar, fields::Successes, std::min<std::uint64_t>(counts.successes, wire::MaxCount));
+    saveField(ar, fields::Failures, std::min<std::uint64_t>(counts.failures, wire::MaxCount));
+    saveField(ar, fields::SuccessAge, encodeAge(counts.successAge));
+    saveField(ar, fields::Notice, encodeNotice(counts));
+    if (isLimited(counts.requestRate)) {
+        saveField(ar, fields::Rate, encodeRate(*counts.requestRate));
+    }
+}
+
+void loadObservation(InputArchive &ar, UpstreamObservation &observation)
+{
+    namespace fields = wire::observation;
+    observation.service = loadText(ar, fields::Service);
+    observation.counts.id = loadText(ar, fields::Upstream);
+    observation.counts.successes = unsigned(loadField(ar, fields::Successes));
+    observation.counts.failures = unsigned(loadField(ar, fields::Failures));
+    observation.counts.successAge = Milliseconds(loadField(ar, fields::SuccessAge));
+    loadNotice(ar, observation.counts);
+}
+
+/// The observations that a datagram can carry. One with a name that is too long must not prevent the others.
+std::vector<const UpstreamObservation *> encodableObservations(const std::vector<UpstreamObservation> &observations)
+{
+    std::vector<const UpstreamObservation *> result;
+    for (const auto &it : observations) {
+        if (result.size() < MaxObservations && keepsRule(it.service, wire::observation::Service)
+            && keepsRule(it.counts.id, wire::observation::Upstream)) {
+            result.push_back(&it);
+        }
+    }
+    return result;
+}
+
+void saveItem(OutputArchive &ar, const StoreItem &item)
+{
+    namespace fields = wire::item;
+    saveText(ar, fields::Key, item.key);
+    saveField(ar, fields::Compressed, item.compressed != nullptr ? 1 : 0);
+    saveText(ar, fields::Value, item.compressed != nullptr ? *item.compressed : item.value);
+    saveField(ar, fields::Era, item.revision.era);
+    saveField(ar, fields::Revision, item.revision.number);
+    saveField(ar, fields::Removed, item.removed ? 1 : 0);
+    saveField(ar, fields::Lapsed, item.lapsed ? 1 : 0);
+    saveField(ar, fields::Listed, item.listed ? 1 : 0);
+}
+
+void loadItem(InputArchive &ar, StoreItem &item)
+{
+    namespace fields = wire::item;
+    item.key = loadText(ar, fields::Key);
+    const bool compressed = loadField(ar, fields::Compressed) == 1;
+    item.value = loadText(ar, fields::Value);
+    item.revision.era = loadField(ar, fields::Era);
+    item.revision.number = loadField(ar, fields::Revision);
+    item.removed = loadField(ar, fields::Removed) == 1;
+    item.lapsed = loadField(ar, fields::Lapsed) == 1;
+    item.listed = loadField(ar, fields::Listed) == 1;
+    if (compressed) {
+        item.compressed = std::make_shared<const std::string>(std::move(item.value));
+        item.value = uncompress(*item.compressed, wire::MaxItemBytes);
+    }
+}
+
 template <typename Body>
 Bytes encode(Body &&body)
 {
@@ -171,36 +264,21 @@
 {
     return encode([&](OutputArchive &ar) {
         ar(HeartbeatMagic);
-        saveIdentity(ar, heartbeat.sender, zones);
-        ar(heartbeat.sender.load,
-           heartbeat.sender.storeRevision.era,
-           heartbeat.sender.storeRevision.number,
-           heartbeat.sender.storeAgeMs,
-           heartbeat.sender.fleetStoreAgeMs,
-           heartbeat.sender.storeDigest);
-        ar(std::uint8_t(heartbeat.replyRequested));
+        saveSender(ar, heartbeat.sender, zones);
+        saveField(ar, wire::sender::ReplyRequested, heartbeat.replyRequested ? 1 : 0);
         const auto instances = std::min(heartbeat.knownInstances.size(), MaxKnownInstances);
-        saveLength(ar, instances, MaxKnownInstances);
+        saveField(ar, wire::known::Count, instances);
         for (std::size_t n = 0; n < instances; ++n) {
             saveIdentity(ar, heartbeat.knownInstances[n].status, zones);
-            ar(encodeAge(heartbeat.knownInstances[n].age));
+            saveField(ar, wire::known::Age, encodeAge(heartbeat.knownInstances[n].age));
         }
-        const auto observations = std::min(heartbeat.observations.size(), MaxObservations);
-        saveLength(ar, observations, MaxObservations);
-        for (std::size_t n = 0; n < observations; ++n) {
-            auto it = heartbeat.observations[n];
-            ar(StringField{it.service, MaxIdLength},
-               StringField{it.counts.id, MaxIdLength},
-               std::uint8_t(std::min(it.counts.successes, MaxCount)),
-               std::uint8_t(std::min(it.counts.failures, MaxCount)),
-               encodeAge(it.counts.successAge),
-               encodeNotice(it.counts));
-            if (isLimited(it.counts.requestRate)) {
-                ar(encodeRate(*it.counts.requestRate));
-            }
+        const auto observations = encodableObservations(heartbeat.observations);
+        saveField(ar, wire::observation::Count, observations.size());
+        for (const auto *it : observations) {
+            saveObservation(ar, *it);
         }
         const auto suspects = std::min(heartbeat.suspects.size(), MaxSuspectReports);
-        saveLength(ar, suspects, MaxSuspectReports);
+        saveField(ar, wire::suspect::Count, suspects);
         for (std::size_t n = 0; n < suspects; ++n) {
             saveSuspect(ar, heartbeat.suspects[n]);
         }
@@ -211,31 +289,18 @@
 {
     GroupHeartbeat heartbeat;
     decode(bytes, HeartbeatMagic, [&](InputArchive &ar) {
-        loadIdentity(ar, heartbeat.sender, zones);
-        ar(heartbeat.sender.load,
-           heartbeat.sender.storeRevision.era,
-           heartbeat.sender.storeRevision.number,
-           heartbeat.sender.storeAgeMs,
-           heartbeat.sender.fleetStoreAgeMs,
-           heartbeat.sender.storeDigest);
-        BoolField replyRequested{heartbeat.replyRequested};
-        ar(replyRequested);
-        heartbeat.knownInstances.resize(loadLength(ar, MaxKnownInstances));
+        loadSender(ar, heartbeat.sender, zones);
+        heartbeat.replyRequested = loadField(ar, wire::sender::ReplyRequested) == 1;
+        heartbeat.knownInstances.resize(loadCount(ar, wire::known::Count));
         for (auto &it : heartbeat.knownInstances) {
             loadIdentity(ar, it.status, zones);
-            it.age = Milliseconds(loadNumber<std::uint16_t>(ar));
+            it.age = Milliseconds(loadField(ar, wire::known::Age));
         }
-        heartbeat.observations.resize(loadLength(ar, MaxObservations));
+        heartbeat.observations.resize(loadCount(ar, wire::observation::Count));
         for (auto &it : heartbeat.observations) {
-            StringField service{it.service, MaxIdLength};
-            StringField id{it.counts.id, MaxIdLength};
-            ar(service, id);
-            it.counts.successes = unsigned(loadNumber<std::uint8_t>(ar));
-            it.counts.failures = unsigned(loadNumber<std::uint8_t>(ar));
-            it.counts.successAge = Milliseconds(loadNumber<std::uint16_t>(ar));
-            loadNotice(ar, it.counts);
+            loadObservation(ar, it);
         }
-        heartbeat.suspects.resize(loadLength(ar, MaxSuspectReports));
+        heartbeat.suspects.resize(loadCount(ar, wire::suspect::Count));
         for (auto &it : heartbeat.suspects) {
             loadSuspect(ar, it);
         }
@@ -245,58 +310,36 @@
 
 Bytes encodeChanges(const MirrorChanges &changes)
 {
+    namespace fields = wire::changes;
     return encode([&](OutputArchive &ar) {
-        bool complete = changes.complete;
-        auto routes = changes.routes;
-        ar(ChangesMagic,
-           changes.revision.era,
-           changes.revision.number,
-           BoolField{complete},
-           StringField{routes, MaxItemBytes},
-           changes.gapEnd.era,
-           changes.gapEnd.number);
-        saveLength(ar, changes.items.size(), MaxItems);
+        ar(ChangesMagic);
+        saveField(ar, fields::Era, changes.revision.era);
+        saveField(ar, fields::Revision, changes.revision.number);
+        saveField(ar, fields::Complete, changes.complete ? 1 : 0);
+        saveText(ar, fields::Routes, changes.routes);
+        saveField(ar, fields::GapEra, changes.gapEnd.era);
+        saveField(ar, fields::GapRevision, changes.gapEnd.number);
+        saveField(ar, fields::Count, changes.items.size());
         for (const auto &item : changes.items) {
-            auto key = item.key;
-            bool compressed = item.compressed != nullptr;
-            auto value = compressed ? *item.compressed : item.value;
-            bool removed = item.removed;
-            bool lapsed = item.lapsed;
-            bool listed = item.listed;
-            ar(StringField{key, MaxKeyLength},
-               BoolField{compressed},
-               StringField{value, MaxItemBytes},
-               item.revision.era,
-               item.revision.number,
-               BoolField{removed},
-               BoolField{lapsed},
-               BoolField{listed});
+            saveItem(ar, item);
         }
     });
 }
 
 MirrorChanges decodeChanges(std::span<const std::uint8_t> bytes)
 {
+    namespace fields = wire::changes;
     MirrorChanges changes;
     decode(bytes, ChangesMagic, [&](InputArchive &ar) {
-        BoolField complete{changes.complete};
-        StringField routes{changes.routes, MaxItemBytes};
-        ar(changes.revision.era, changes.revision.number, complete, routes, changes.gapEnd.era, changes.gapEnd.number);
-        const auto length = loadLength(ar, MaxItems);
-        for (std::size_t n = 0; n < length; ++n) {
-            auto &item = changes.items.emplace_back();
-            StringField key{item.key, MaxKeyLength};
-            bool isCompressed = false;
-            BoolField compressed{isCompressed};
-            StringField value{item.value, MaxItemBytes};
-            BoolField removed{item.removed};
-            BoolField lapsed{item.lapsed};
-            BoolField listed{item.listed};
-            ar(key, compressed, value, item.revision.era, item.revision.number, removed, lapsed, listed);
-            if (isCompressed) {
-                item.compressed = std::make_shared<const std::string>(std::move(item.value));
-                item.value = uncompress(*item.compressed, MaxItemBytes);
-            }
+        changes.revision.era = loadField(ar, fields::Era);
+        changes.revision.number = loadField(ar, fields::Revision);
+        changes.complete = loadField(ar, fields::Complete) == 1;
+        changes.routes = loadText(ar, fields::Routes);
+        changes.gapEnd.era = loadField(ar, fields::GapEra);
+        changes.gapEnd.number = loadField(ar, fields::GapRevision);
+        const auto count = loadCount(ar, fields::Count);
+        for (std::size_t n = 0; n < count; ++n) {
+            loadItem(ar, changes.items.emplace_back());
         }
     });
     return changes;
