net: read, drain and close checks of connections in one place

HttpServer is about to treat early bytes, half-closes and unread bytes as the caller sessions do. What both need moves from the session to net/socketstate; no change of behaviour, test_callerserver passes as before. MaxUnparsedBytes stood in callersession.cpp and in messagereader.h with the same value; only the latter is left.

--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -1,10 +1,9 @@
 #include "gateway/callersession.h"
 
-#include "gateway/socketstate.h"
 #include "laburnumspar/log.h"
+#include "net/messagereader.h"
 #include "net/requestframing.h"
-
-#include <sys/socket.h>
+#include "net/socketstate.h"
 
 namespace laburnumspar::detail {
 
@@ -19,16 +18,6 @@
 constexpr Milliseconds RoutesPollInterval{50};
 /// Retry-After for a request that an instance refuses because it stops; another instance takes it at once.
 constexpr Milliseconds LeavingRetryAfter{100};
-/// Unparsed data of a request beyond the header. Chunk headers have to fit, which otherwise could grow without end.
-constexpr std::size_t MaxUnparsedBytes = 128 << 10;
-/// Bytes of later requests that are read while a request waits for its answer.
-constexpr std::size_t MaxEarlyBytes = 16 << 10;
-/// Interval at which a connection with more early bytes than that is checked for a close.
-constexpr Milliseconds ClosePollInterval{200};
-/// Longest time for which a connection is drained after its last answer. Large bodies that are refused take long to
-/// arrive, and many callers read the answer only after they have sent all of it.
-constexpr Milliseconds DrainTimeout{5000};
-constexpr std::size_t DrainedBytes = 16 << 10;
 
 } // namespace
 
@@ -54,7 +43,7 @@
     m_phase = Phase::Idle;
     m_idleSince = Clock::now();
     m_earlyBytes.hold(0);
-    discardEmptyLines();
+    discardEmptyLines(m_buf);
     if (m_buf.size() > 0) {
         readHeader();
         return;
@@ -64,14 +53,6 @@
     watch();
 }
 
-/// Callers may send empty lines between requests (RFC 9112, section 2.2), which do not begin one.
-void CallerSession::discardEmptyLines()
-{
-    const auto data = m_buf.cdata();
-    const std::string_view bytes(static_cast<const char *>(data.data()), data.size());
-    m_buf.consume(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
-}
-
 void CallerSession::closeIfIdle()
 {
     if (m_phase == Phase::Idle) {
@@ -109,13 +90,7 @@
 bool CallerSession::hasRequest() const
 {
     return m_phase == Phase::Reading || m_phase == Phase::Waiting || m_phase == Phase::Writing
-        || m_phase == Phase::Draining || (m_phase == Phase::Idle && hasUnreadData());
-}
-
-bool CallerSession::hasUnreadData() const
-{
-    error_code ec;
-    return m_socket.available(ec) > 0 && !ec;
+        || m_phase == Phase::Draining || (m_phase == Phase::Idle && hasUnreadData(m_socket));
 }
 
 void CallerSession::armIdleTimer()
@@ -171,16 +146,16 @@
 /// Reads the first bytes of a request, which show whether one has begun.
 void CallerSession::readFirstBytes()
 {
-    const auto n = receive(MaxEarlyBytes);
-    if (n < 0 && wouldBlock(errno)) {
+    const auto input = readArrived(m_socket, m_buf, MaxEarlyBytes);
+    if (input == Input::None) {
         watch();
         return;
     }
-    if (n <= 0) {
+    if (input != Input::Bytes) {
         close();
         return;
     }
-    discardEmptyLines();
+    discardEmptyLines(m_buf);
     if (m_buf.size() == 0) {
         watch();
         return;
@@ -189,15 +164,6 @@
     readHeader();
 }
 
-/// Reads what has arrived, up to a number of unparsed bytes. Returns the result of recv().
-ssize_t CallerSession::receive(std::size_t maxUnparsed)
-{
-    const auto space = m_buf.prepare(maxUnparsed - m_buf.size());
-    const auto n = ::recv(m_socket.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
-    m_buf.commit(std::size_t(std::max<ssize_t>(n, 0)));
-    return n;
-}
-
 /// Reads what the caller sends before it has received the answer to its request: the start of its next requests, or
 /// the end of its connection.
 void CallerSession::readEarlyBytes()
@@ -206,10 +172,10 @@
         pollForClose();
         return;
     }
-    const auto n = receive(MaxEarlyBytes);
-    if (n > 0 || (n < 0 && wouldBlock(errno))) {
+    const auto input = readArrived(m_socket, m_buf, MaxEarlyBytes);
+    if (input == Input::Bytes || input == Input::None) {
         watch();
-    } else if (n == 0) {
+    } else if (input == Input::End) {
         onCallerClosed();
     } else if (m_phase == Phase::Waiting) {
         abort();
@@ -416,7 +382,7 @@
         close();
     } else if (!m_closeAfter) {
         waitForRequest();
-    } else if (!m_callerClosed && (m_unread || hasUnreadData())) {
+    } else if (!m_callerClosed && (m_unread || hasUnreadData(m_socket))) {
         logEvent(LogLevel::Info, "connection.closed-unread", {{"request", m_requestId}});
         error_code ignored;
         m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -437,9 +403,8 @@
 /// connection, and the caller may lose the end of the answer.
 void CallerSession::drain()
 {
-    std::array<char, DrainedBytes> discarded{};
-    const auto n = ::recv(m_socket.native_handle(), discarded.data(), discarded.size(), MSG_DONTWAIT);
-    if (n > 0 || (n < 0 && wouldBlock(errno))) {
+    const auto input = discardArrived(m_socket);
+    if (input == Input::Bytes || input == Input::None) {
         watch();
     } else {
         close();
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -6,8 +6,6 @@
 #include <optional>
 #include <set>
 
-#include <sys/types.h>
-
 namespace laburnumspar::detail {
 
 class CallerSession;
@@ -64,12 +62,9 @@
         Closed,
     };
 
-    bool hasUnreadData() const;
     void armIdleTimer();
     void watch();
     void onReadable();
-    void discardEmptyLines();
-    ssize_t receive(std::size_t maxUnparsed);
     void readFirstBytes();
     void readEarlyBytes();
     void pollForClose();
