net: HttpServer notices a close behind early bytes

Callers that sent a byte of their next request while one ran, and then closed, were not noticed: the request went on and held its place in the queues. The server waited once for its connection to become readable and did not wait again when what arrived was no close. It now reads early bytes up to the bound of the gateway's caller sessions, counts them as pending, and polls for a close behind more.

closeBehindEarlyBytesIsNoticed failed before for 1 and 65536 early bytes; earlyRequestsAreAnsweredInOrder passed before.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -3,8 +3,7 @@
 #include "laburnumspar/errors.h"
 #include "laburnumspar/log.h"
 #include "net/requestframing.h"
-
-#include <sys/socket.h>
+#include "net/socketstate.h"
 
 namespace laburnumspar::detail {
 
@@ -13,12 +12,6 @@
 /// Time to send a response to a client that does not read.
 constexpr Milliseconds WriteTimeout{20'000};
 
-bool isClosedByPeer(tcp::socket &socket)
-{
-    char byte = 0;
-    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 } // namespace
 
 struct HttpServer::State {
@@ -46,6 +39,8 @@
     Connection(std::shared_ptr<State> state, tcp::socket socket)
         : m_state(std::move(state))
         , m_stream(std::move(socket))
+        , m_closeTimer(m_stream.get_executor())
+        , m_buf(MaxUnparsedBytes)
     {
         ++m_state->connections;
         std::lock_guard lock(m_state->mutex);
@@ -63,13 +58,12 @@
     awaitable<void> run()
     {
         auto self = shared_from_this();
-        beast::flat_buffer buf(MaxUnparsedBytes);
         while (!m_closeRequested) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(m_state->limits.maxBodyBytes);
             parser.header_limit(m_state->limits.maxHeaderBytes);
             m_stream.expires_after(m_state->limits.idleTimeout);
-            const auto ec = co_await readMessage(m_stream, buf, parser, &m_state->pendingRequests);
+            const auto ec = co_await readMessage(m_stream, m_buf, parser, &m_state->pendingRequests);
             if (ec) {
                 co_await refuseBadInput(ec);
                 break;
@@ -85,6 +79,7 @@
         }
         error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_stream.close();
     }
 
     /// Closes the connection now, or after the response if a request is in flight.
@@ -114,17 +109,19 @@
         m_busy = true;
         ++m_state->inFlight;
         m_cancellation = std::make_shared<Cancellation>();
-        watchForClose();
+        watch();
         const auto version = request.version();
         const bool keepAlive = request.keep_alive();
         auto response = co_await handle(std::move(request));
         response.version(version);
         response.keep_alive(keepAlive && !m_state->closing);
         response.prepare_payload();
+        m_cancellation.reset();
+        m_closeTimer.cancel();
         m_stream.socket().cancel();
         m_stream.expires_after(WriteTimeout);
         auto [ec, n] = co_await http::async_write(m_stream, response, NoThrowAwaitable);
-        m_cancellation.reset();
+        releaseEarlyBytes();
         --m_state->inFlight;
         m_busy = false;
         co_return !ec && response.keep_alive();
@@ -148,17 +145,62 @@
         co_return response;
     }
 
-    // Cancels the request if the client closes its connection.
-    void watchForClose()
+    /// Waits until bytes arrive or the client closes the connection while a request is being handled.
+    void watch()
     {
         m_stream.socket().async_wait(tcp::socket::wait_read,
-                                     [self = shared_from_this(), cancellation = m_cancellation](error_code ec) {
-                                         if (!ec && isClosedByPeer(self->m_stream.socket())) {
-                                             cancellation->cancel();
+                                     [self = shared_from_this(), request = m_cancellation](error_code ec) {
+                                         if (!ec && self->m_cancellation == request) {
+                                             self->readEarlyBytes();
                                          }
                                      });
     }
 
+    /// Reads what the client sends before it has received the answer to its request: the start of its next requests, or
+    /// the end of its connection.
+    void readEarlyBytes()
+    {
+        if (m_buf.size() >= MaxEarlyBytes || !reserveEarlyBytes()) {
+            pollForClose();
+            return;
+        }
+        const auto input = readArrived(m_stream.socket(), m_buf, MaxEarlyBytes);
+        if (input == Input::Bytes || input == Input::None) {
+            watch();
+        } else {
+            onClosed();
+        }
+    }
+
+    /// Early bytes count as a request that has not arrived completely.
+    bool reserveEarlyBytes()
+    {
+        m_earlyReserved = m_earlyReserved || m_state->pendingRequests.reserve(MaxEarlyBytes);
+        return m_earlyReserved;
+    }
+
+    void releaseEarlyBytes()
+    {
+        if (std::exchange(m_earlyReserved, false)) {
+            m_state->pendingRequests.release(MaxEarlyBytes);
+        }
+    }
+
+    void pollForClose()
+    {
+        m_closeTimer.expires_after(ClosePollInterval);
+        m_closeTimer.async_wait([self = shared_from_this(), request = m_cancellation](error_code ec) {
+            if (!ec && self->m_cancellation == request) {
+                closedByPeer(self->m_stream.socket()) ? self->onClosed() : self->pollForClose();
+            }
+        });
+    }
+
+    void onClosed()
+    {
+        m_cancellation->cancel();
+    }
+
     awaitable<void> refuseBadInput(error_code ec)
     {
         if (ec == asio::error::no_buffer_space) {
@@ -183,7 +225,10 @@
 
     std::shared_ptr<State> m_state;
     beast::tcp_stream m_stream;
-    CancellationPtr m_cancellation;
+    asio::steady_timer m_closeTimer; ///< of pollForClose()
+    beast::flat_buffer m_buf;
+    CancellationPtr m_cancellation; ///< of the request that is being handled
+    bool m_earlyReserved = false;
     bool m_busy = false;
     bool m_closeRequested = false;
 };
--- a/tests/rawcaller.h
+++ b/tests/rawcaller.h
@@ -51,6 +51,11 @@
         return m_received;
     }
 
+    void closeSendingSide()
+    {
+        m_socket.shutdown(detail::tcp::socket::shutdown_send);
+    }
+
     std::size_t sent = 0; ///< bytes
     bool closed = false; ///< by the server, as seen by receive()
 
--- a/tests/test_httpserver.cpp
+++ b/tests/test_httpserver.cpp
@@ -113,3 +113,85 @@
     caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
     BOOST_TEST(caller.receive(100ms).starts_with("HTTP/1.1 200"));
 }
+
+namespace {
+
+/// A server whose handlers take a while, and note whether their requests are cancelled meanwhile.
+struct SlowFixture {
+    SlowFixture()
+        : server(context, serverAddress, {}, [this](HttpRequest request, CancellationPtr cancellation) {
+            return answer(std::move(request), std::move(cancellation));
+        })
+    {
+        server.start();
+    }
+    ~SlowFixture()
+    {
+        server.close();
+        context.restart();
+        context.run_for(50ms);
+    }
+
+    awaitable<HttpResponse> answer(HttpRequest request, CancellationPtr cancellation)
+    {
+        ++requests;
+        last = cancellation;
+        co_await sleepFor(time);
+        co_return makeResponse(http::status::ok,
+                               "text/plain",
+                               (cancellation->isCancelled() ? "cancelled " : "done ") + request.body()
+                                   + std::string(padding, '.'));
+    }
+
+    static std::string request(const std::string &body)
+    {
+        return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    asio::io_context context{1};
+    Milliseconds time{300};
+    std::size_t padding = 0; ///< of answers, in bytes
+    unsigned requests = 0;
+    CancellationPtr last; ///< of the last request
+    HttpServer server;
+};
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a close that is not noticed once a byte of the next request has arrived.
+BOOST_FIXTURE_TEST_CASE(closeBehindEarlyBytesIsNoticed, SlowFixture)
+{
+    time = 3s;
+    for (const std::size_t early : {1, 64 << 10}) {
+        auto caller = std::make_unique<RawCaller>(context, serverAddress);
+        caller->send(request("r1"));
+        caller->receive(100ms);
+        caller->send(std::string(early, 'G'));
+        caller->receive(100ms);
+        BOOST_REQUIRE(last);
+        BOOST_TEST(!last->isCancelled());
+        caller.reset();
+        context.restart();
+        context.run_for(500ms);
+        BOOST_TEST(last->isCancelled(), early << " early bytes");
+        last.reset();
+    }
+}
+
+// Guards against losing requests that are sent before the answers to earlier ones.
+BOOST_FIXTURE_TEST_CASE(earlyRequestsAreAnsweredInOrder, SlowFixture)
+{
+    RawCaller caller(context, serverAddress);
+    caller.send(request("r1"));
+    caller.receive(100ms);
+    caller.send(request("r2") + request("r3"));
+    const auto answers = caller.receive(1200ms);
+    BOOST_TEST(answers.find("done r1") < answers.find("done r2"));
+    BOOST_TEST(answers.find("done r2") < answers.find("done r3"));
+    BOOST_TEST(contains(answers, "done r3"));
+}
