net: HttpServer ignores empty lines between requests

Callers that sent an empty line after a body, as RFC 9112 (2.2) tells servers to expect, got 400 and lost their connection, and any request that they had sent behind it. Empty lines are now discarded before a request is parsed, as the gateway's caller sessions do.

emptyLinesBetweenRequestsAreIgnored failed before.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -11,6 +11,7 @@
 
 /// Time to send a response to a client that does not read.
 constexpr Milliseconds WriteTimeout{20'000};
+constexpr std::size_t FirstReadBytes = 4 << 10;
 
 } // namespace
 
@@ -63,7 +64,10 @@
             parser.body_limit(m_state->limits.maxBodyBytes);
             parser.header_limit(m_state->limits.maxHeaderBytes);
             m_stream.expires_after(m_state->limits.idleTimeout);
-            const auto ec = co_await readMessage(m_stream, m_buf, parser, &m_state->pendingRequests);
+            auto ec = co_await readFirstBytes();
+            if (!ec) {
+                ec = co_await readMessage(m_stream, m_buf, parser, &m_state->pendingRequests);
+            }
             if (ec) {
                 co_await refuseBadInput(ec);
                 break;
@@ -104,6 +108,22 @@
     }
 
 private:
+    /// Waits for the first bytes of a request. Empty lines do not begin one.
+    awaitable<error_code> readFirstBytes()
+    {
+        discardEmptyLines(m_buf);
+        while (m_buf.size() == 0) {
+            auto [ec, n] = co_await m_stream.async_read_some(m_buf.prepare(FirstReadBytes), NoThrowAwaitable);
+            if (ec) {
+                // As the parser reports an end between two requests.
+                co_return ec == asio::error::eof ? error_code(http::error::end_of_stream) : ec;
+            }
+            m_buf.commit(n);
+            discardEmptyLines(m_buf);
+        }
+        co_return error_code();
+    }
+
     awaitable<bool> serve(HttpRequest request)
     {
         m_busy = true;
--- a/tests/test_httpserver.cpp
+++ b/tests/test_httpserver.cpp
@@ -195,3 +195,17 @@
     BOOST_TEST(answers.find("done r2") < answers.find("done r3"));
     BOOST_TEST(contains(answers, "done r3"));
 }
+
+// Guards against refusing a request because an empty line precedes it, as some callers send it.
+BOOST_FIXTURE_TEST_CASE(emptyLinesBetweenRequestsAreIgnored, SlowFixture)
+{
+    time = 10ms;
+    RawCaller caller(context, serverAddress);
+    caller.send("\r\n" + request("r1") + "\r\n");
+    BOOST_TEST(contains(caller.receive(100ms), "done r1"));
+    caller.send("\r\n");
+    caller.receive(50ms);
+    caller.send("\r\n" + request("r2"));
+    BOOST_TEST(contains(caller.receive(100ms), "done r2"));
+    BOOST_TEST(!caller.closed);
+}
