net: HttpServer drains a connection after its last answer

A server that closes a connection with unread bytes resets it, and the kernel discards what the client has not received yet.

lastAnswerIsNotResetByUnreadBytes and refusalIsNotResetByTheRestOfTheRequest failed before.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -12,6 +12,8 @@
 /// Time to send a response to a client that does not read.
 constexpr Milliseconds WriteTimeout{20'000};
 constexpr std::size_t FirstReadBytes = 4 << 10;
+/// Bytes that are discarded after the last answer, at most. Clients that send more are reset.
+constexpr std::size_t MaxDrainedBytes = 4 << 20;
 
 } // namespace
 
@@ -81,8 +83,7 @@
                 break;
             }
         }
-        error_code ignored;
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        co_await drain();
         m_stream.close();
     }
 
@@ -221,6 +222,25 @@
         m_cancellation->cancel();
     }
 
+    /// Discards what the client has sent after its last request that is answered. A close with unread bytes resets the
+    /// connection, and the client may lose the end of the answer.
+    awaitable<void> drain()
+    {
+        error_code ec;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        if (ec || !(m_unread || hasUnreadData(m_stream.socket()))) {
+            co_return;
+        }
+        logEvent(LogLevel::Debug, "connection.closed-unread", {});
+        m_buf.clear();
+        m_stream.expires_after(DrainTimeout);
+        for (std::size_t drained = 0; !ec && drained < MaxDrainedBytes;) {
+            auto [readError, n] = co_await m_stream.async_read_some(m_buf.prepare(DrainedBytes), NoThrowAwaitable);
+            ec = readError;
+            drained += n;
+        }
+    }
+
     awaitable<void> refuseBadInput(error_code ec)
     {
         if (ec == asio::error::no_buffer_space) {
@@ -234,6 +254,7 @@
     /// Answers a request that has not been read completely. The connection has to be closed after it.
     awaitable<void> refuse(http::status status, Reason reason, std::string detail)
     {
+        m_unread = true;
         auto response = makeResponse(status,
                                      "application/json",
                                      R"({"outcome":"not-run","reason":")" + std::string(name(reason))
@@ -249,6 +270,7 @@
     beast::flat_buffer m_buf;
     CancellationPtr m_cancellation; ///< of the request that is being handled
     bool m_earlyReserved = false;
+    bool m_unread = false; ///< the last request has been refused before it was read
     bool m_busy = false;
     bool m_closeRequested = false;
 };
--- a/tests/test_httpserver.cpp
+++ b/tests/test_httpserver.cpp
@@ -209,3 +209,32 @@
     BOOST_TEST(contains(caller.receive(100ms), "done r2"));
     BOOST_TEST(!caller.closed);
 }
+
+// Guards against a reset that destroys the end of the last answer because the caller has sent more than has been read.
+BOOST_FIXTURE_TEST_CASE(lastAnswerIsNotResetByUnreadBytes, SlowFixture)
+{
+    padding = 2 << 20; // more than the caller's side of the connection takes before it is read
+    server.startClosing();
+    RawCaller caller(context, serverAddress);
+    caller.send(request("r1"));
+    context.restart();
+    context.run_for(100ms);
+    caller.send(std::string(64 << 10, 'x'));
+    context.restart();
+    context.run_for(500ms);
+    const auto answer = caller.receive(500ms);
+    BOOST_TEST(contains(answer, "Connection: close"));
+    BOOST_TEST(answer.size() > padding);
+    BOOST_TEST(caller.closed);
+    BOOST_TEST(caller.send("more"));
+}
+
+// Guards against a reset that destroys the refusal of a request whose caller still sends its body.
+BOOST_FIXTURE_TEST_CASE(refusalIsNotResetByTheRestOfTheRequest, SlowFixture)
+{
+    RawCaller caller(context, serverAddress);
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10000000000\r\n\r\n" + std::string(64 << 10, 'x'));
+    BOOST_TEST(contains(caller.receive(100ms), "HTTP/1.1 400"));
+    BOOST_TEST(caller.send("more"));
+    BOOST_TEST(caller.send("more"));
+}
