net: a half-close does not cancel requests whose effect is wanted

Callers of the product's own interface that closed their sending side after a request, as HTTP/1.1 allows, got 504 for a request that must not be repeated, and its attempt was cut off at the upstream. HttpServer took the end of what the caller sends for the end of the connection. The two cannot be told apart until the answer is written, so a request that is not idempotent goes on and is answered, as on the platform's interface; an idempotent one is cancelled as before. A forced stop still cancels both. Requests read after the close are refused as not run.

Before: halfClosedConnectionsGetTheirAnswer got 'cancelled' for the first request, without the call of keepWithoutCaller(), which did not exist; in earlyRequestsOfCallersThatLeftAreNotRun both requests ran.

--- a/src/net/callerapi.cpp
+++ b/src/net/callerapi.cpp
@@ -134,6 +134,10 @@
     CallResult result{Outcome::NotRun, prepare(request, call, detail), 0, {}, {}, {}, {}};
     result.detail = detail;
     if (result.reason == Reason::None) {
+        if (!call.idempotent) {
+            // Its effect is wanted, and its caller may have closed only its sending side.
+            cancellation->keepWithoutCaller();
+        }
         call.body = std::move(request.body());
         result = co_await m_context.router.handleCall(call, std::move(cancellation));
     }
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -79,6 +79,12 @@
                 break;
             }
             m_stream.expires_never();
+            if (m_clientClosed) {
+                // Nobody may be left to read the answer.
+                co_await refuse(
+                    http::status::service_unavailable, Reason::Cancelled, "the caller has closed its connection");
+                break;
+            }
             if (!co_await serve(parser.release())) {
                 break;
             }
@@ -217,9 +223,12 @@
         });
     }
 
+    /// The client has closed its connection, or only its sending side; which of the two is known when the answer is
+    /// written.
     void onClosed()
     {
-        m_cancellation->cancel();
+        m_clientClosed = true;
+        m_cancellation->cancelByCaller();
     }
 
     /// Discards what the client has sent after its last request that is answered. A close with unread bytes resets the
@@ -270,6 +279,7 @@
     beast::flat_buffer m_buf;
     CancellationPtr m_cancellation; ///< of the request that is being handled
     bool m_earlyReserved = false;
+    bool m_clientClosed = false; ///< the client sends nothing more
     bool m_unread = false; ///< the last request has been refused before it was read
     bool m_busy = false;
     bool m_closeRequested = false;
--- a/src/net/io.cpp
+++ b/src/net/io.cpp
@@ -45,6 +45,23 @@
     }
 }
 
+void Cancellation::cancelByCaller()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_keptWithoutCaller) {
+            return;
+        }
+    }
+    cancel();
+}
+
+void Cancellation::keepWithoutCaller()
+{
+    std::lock_guard lock(m_mutex);
+    m_keptWithoutCaller = true;
+}
+
 bool Cancellation::isCancelled() const
 {
     std::lock_guard lock(m_mutex);
--- a/src/net/io.h
+++ b/src/net/io.h
@@ -129,6 +129,11 @@
 public:
     /// Calls all registered callbacks. Callbacks added later are called immediately.
     void cancel();
+    /// To be called when the caller has closed its connection or its sending side. Cancels the request unless
+    /// `keepWithoutCaller()` has been called before.
+    void cancelByCaller();
+    /// The request goes on if its caller leaves, because its effect is wanted. Other reasons still cancel it.
+    void keepWithoutCaller();
     bool isCancelled() const;
     /// Returns a key for `removeCallback`, or 0 if the request has already been cancelled and the callback was called.
     std::size_t addCallback(std::function<void()> callback);
@@ -137,6 +142,7 @@
 private:
     mutable std::mutex m_mutex;
     bool m_cancelled = false;
+    bool m_keptWithoutCaller = false;
     std::size_t m_nextKey = 1;
     std::vector<std::pair<std::size_t, std::function<void()>>> m_callbacks;
 };
--- a/tests/test_httpserver.cpp
+++ b/tests/test_httpserver.cpp
@@ -136,6 +136,9 @@
     {
         ++requests;
         last = cancellation;
+        if (request.method() == http::verb::post) {
+            cancellation->keepWithoutCaller();
+        }
         co_await sleepFor(time);
         co_return makeResponse(http::status::ok,
                                "text/plain",
@@ -143,9 +146,10 @@
                                    + std::string(padding, '.'));
     }
 
-    static std::string request(const std::string &body)
+    /// A request that goes on if its caller leaves, or with another method one that does not.
+    static std::string request(const std::string &body, const std::string &method = "POST")
     {
-        return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        return method + " / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
     asio::io_context context{1};
@@ -169,7 +173,7 @@
     time = 3s;
     for (const std::size_t early : {1, 64 << 10}) {
         auto caller = std::make_unique<RawCaller>(context, serverAddress);
-        caller->send(request("r1"));
+        caller->send(request("r1", "PUT"));
         caller->receive(100ms);
         caller->send(std::string(early, 'G'));
         caller->receive(100ms);
@@ -238,3 +242,31 @@
     BOOST_TEST(caller.send("more"));
     BOOST_TEST(caller.send("more"));
 }
+
+// Guards against losing the answer of a caller that closes its sending side after its request, and against cancelling a
+// request whose effect is wanted although its caller may have left.
+BOOST_FIXTURE_TEST_CASE(halfClosedConnectionsGetTheirAnswer, SlowFixture)
+{
+    RawCaller caller(context, serverAddress);
+    caller.send(request("r1"));
+    caller.receive(100ms);
+    caller.closeSendingSide();
+    BOOST_TEST(contains(caller.receive(500ms), "done r1"));
+    RawCaller other(context, serverAddress);
+    other.send(request("r2", "PUT"));
+    other.receive(100ms);
+    other.closeSendingSide();
+    BOOST_TEST(contains(other.receive(500ms), "cancelled r2"));
+}
+
+// Guards against running a request whose caller has closed its connection before it was started.
+BOOST_FIXTURE_TEST_CASE(earlyRequestsOfCallersThatLeftAreNotRun, SlowFixture)
+{
+    RawCaller caller(context, serverAddress);
+    caller.send(request("r1") + request("r2"));
+    caller.receive(100ms);
+    caller.closeSendingSide();
+    const auto answers = caller.receive(1s);
+    BOOST_TEST(contains(answers, "not-run"));
+    BOOST_TEST(requests == 1U);
+}
