net: a close does not cut requests that are arriving

A planned stop of the product's own interface closed the connections on which a request was being read, so that its caller got nothing or a reset, and exited twice the shortest time after the signal although a request that had been read between the last check and the close could still run. Connections are now closed only while no byte of a request has arrived, and the instance waits for all requests that have been read, until the drain limit or a second signal. Other connections get 6 s, counted from the close.

requestsThatAreBeingReadOutlastAClose failed before; the wait of stopLoop() has no test, its window is a few milliseconds.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -93,12 +93,12 @@
         m_stream.close();
     }
 
-    /// Closes the connection now, or after the response if a request is in flight.
+    /// Closes the connection now, or after the response if a request is arriving or in flight.
     void closeIfIdle()
     {
         asio::post(m_stream.get_executor(), [self = shared_from_this()] {
             self->m_closeRequested = true;
-            if (!self->m_busy) {
+            if (self->m_idle && !hasUnreadData(self->m_stream.socket())) {
                 self->m_stream.cancel();
             }
         });
@@ -120,7 +120,9 @@
     {
         discardEmptyLines(m_buf);
         while (m_buf.size() == 0) {
+            m_idle = true;
             auto [ec, n] = co_await m_stream.async_read_some(m_buf.prepare(FirstReadBytes), NoThrowAwaitable);
+            m_idle = false;
             if (ec) {
                 // As the parser reports an end between two requests.
                 co_return ec == asio::error::eof ? error_code(http::error::end_of_stream) : ec;
@@ -133,7 +135,6 @@
 
     awaitable<bool> serve(HttpRequest request)
     {
-        m_busy = true;
         ++m_state->inFlight;
         m_cancellation = std::make_shared<Cancellation>();
         watch();
@@ -150,7 +151,6 @@
         auto [ec, n] = co_await http::async_write(m_stream, response, NoThrowAwaitable);
         releaseEarlyBytes();
         --m_state->inFlight;
-        m_busy = false;
         co_return !ec && response.keep_alive();
     }
 
@@ -281,7 +281,7 @@
     bool m_earlyReserved = false;
     bool m_clientClosed = false; ///< the client sends nothing more
     bool m_unread = false; ///< the last request has been refused before it was read
-    bool m_busy = false;
+    bool m_idle = false; ///< no byte of a request has been read
     bool m_closeRequested = false;
 };
 
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -38,6 +38,8 @@
 constexpr Milliseconds MinDiscoveryTime{700};
 // Callers keep an address for 5 s (AddressLifetime) and may use it slightly longer.
 constexpr Milliseconds MinLeavingTime{6000};
+// Longest time for connections to be closed on which no request is in flight.
+constexpr Milliseconds MaxCloseTime{6000};
 // Longest time for the answers to the requests that are aborted at the end of a forced stop.
 constexpr Milliseconds MaxAbortTime{2000};
 
@@ -428,13 +430,19 @@
     m_membership.with([](Membership &membership) { membership.leave(); });
     m_callerServer.startClosing();
     logEvent(LogLevel::Info, "instance.leaving", {{"in_flight", requestsInFlight()}});
-    bool forced = false;
-    while (!forced && (Clock::now() - startedAt < MinLeavingTime || requestsInFlight() > 0)) {
+    const auto isForced = [this] { return m_stopRequests > 1 || m_drainLimit.isOver(Clock::now()); };
+    while (!isForced() && (Clock::now() - startedAt < MinLeavingTime || requestsInFlight() > 0)) {
         co_await sleepFor(CheckInterval);
-        forced = m_stopRequests > 1 || m_drainLimit.isOver(Clock::now());
     }
     m_callerServer.close();
-    if (forced) {
+    // Requests that were read just before the close are answered, however long the stop has taken.
+    const auto closedAt = Clock::now();
+    while (
+        !isForced()
+        && (requestsInFlight() > 0 || (m_callerServer.connections() > 0 && Clock::now() - closedAt < MaxCloseTime))) {
+        co_await sleepFor(CheckInterval);
+    }
+    if (isForced()) {
         m_aborted = m_callerServer.abort() + m_peerServer.requestsInFlight();
         logEvent(LogLevel::Warning, "instance.forced-stop", {{"aborted", m_aborted.load()}});
         const auto abortedAt = Clock::now();
@@ -442,9 +450,6 @@
             co_await sleepFor(CheckInterval);
         }
     }
-    while (!forced && m_callerServer.connections() > 0 && Clock::now() - startedAt < MinLeavingTime * 2) {
-        co_await sleepFor(CheckInterval);
-    }
     m_state = RunState::Stopped;
     m_peerServer.close();
     m_peerConnections.closeAll();
--- a/tests/test_httpserver.cpp
+++ b/tests/test_httpserver.cpp
@@ -270,3 +270,17 @@
     BOOST_TEST(contains(answers, "not-run"));
     BOOST_TEST(requests == 1U);
 }
+
+// Guards against closing a connection while a request arrives on it.
+BOOST_FIXTURE_TEST_CASE(requestsThatAreBeingReadOutlastAClose, SlowFixture)
+{
+    const auto text = request("r1");
+    RawCaller caller(context, serverAddress);
+    caller.send(text.substr(0, 20));
+    caller.receive(50ms);
+    server.close();
+    caller.receive(50ms);
+    caller.send(text.substr(20));
+    BOOST_TEST(contains(caller.receive(500ms), "done r1"));
+    BOOST_TEST(caller.closed);
+}
