soak: grace periods other than 6 s, and requests that are cut before they are passed on

A connection that ends without an answer more than 0.2 s after its request was sent now counts, whether or not an upstream has run it, as LOST has it.

--- a/tools/lspar-soak/instanceprocesses.cpp
+++ b/tools/lspar-soak/instanceprocesses.cpp
@@ -22,10 +22,12 @@
 InstanceProcesses::InstanceProcesses(std::string program,
                                      std::string directory,
                                      AddressLayout layout,
+                                     Milliseconds gracePeriod,
                                      GuaranteeChecker &checker)
     : m_program(std::move(program))
     , m_directory(std::move(directory))
     , m_layout(layout)
+    , m_gracePeriod(gracePeriod)
     , m_checker(checker)
 {
 }
@@ -61,7 +63,8 @@
         << toString(m_layout.peers(n)) << "\"\ndirectory = \"" << toString(m_layout.addresses(n))
         << "\"\n[network.zones]\neast = \"r\"\nwest = \"r\"\n[platform]\nheartbeat_s = 0.5\n[platform.platform]\naddr "
            "= \""
-        << toString(m_layout.storeProxy(n)) << "\"\n[terms.bounds]\ngrace_s = 6\nretry_slack = 60\n";
+        << toString(m_layout.storeProxy(n)) << "\"\n[terms.bounds]\ngrace_s = " << double(m_gracePeriod.count()) / 1000
+        << "\nretry_slack = 60\n";
 }
 
 void InstanceProcesses::start(unsigned n)
@@ -159,7 +162,7 @@
             }
             process.disturbedAt = now;
         } else if (process.stopRequestedAt && !process.paused
-                   && now - std::max(*process.stopRequestedAt, process.interruptedAt) > GracePeriod) {
+                   && now - std::max(*process.stopRequestedAt, process.interruptedAt) > m_gracePeriod) {
             m_checker.recordViolation("process did not exit within the grace period after SIGTERM: " + incarnation(n));
             kill(n);
         }
--- a/tools/lspar-soak/instanceprocesses.h
+++ b/tools/lspar-soak/instanceprocesses.h
@@ -10,14 +10,16 @@
 
 namespace laburnumspar::soak {
 
-/// Time within which a process must exit after SIGTERM; grace_s in its settings.
-constexpr Milliseconds GracePeriod{6000};
-
 /// Runs the instances of the fleet as child processes. Sends signals only to processes that it has started.
 class InstanceProcesses
 {
 public:
-    InstanceProcesses(std::string program, std::string directory, AddressLayout layout, GuaranteeChecker &checker);
+    /// `gracePeriod`: time within which a process must exit after SIGTERM; grace_s in its settings.
+    InstanceProcesses(std::string program,
+                      std::string directory,
+                      AddressLayout layout,
+                      Milliseconds gracePeriod,
+                      GuaranteeChecker &checker);
     ~InstanceProcesses();
     InstanceProcesses(const InstanceProcesses &) = delete;
     InstanceProcesses &operator=(const InstanceProcesses &) = delete;
@@ -45,6 +47,10 @@
     bool wasInterrupted(unsigned n, TimePoint since) const;
     /// Name of the instance with the number of its starts.
     std::string incarnation(unsigned n) const;
+    Milliseconds gracePeriod() const
+    {
+        return m_gracePeriod;
+    }
     unsigned count() const
     {
         return unsigned(m_processes.size());
@@ -71,6 +77,7 @@
     std::string m_program;
     std::string m_directory;
     AddressLayout m_layout;
+    Milliseconds m_gracePeriod;
     GuaranteeChecker &m_checker;
     std::vector<Process> m_processes;
 };
--- a/tools/lspar-soak/latecallers.cpp
+++ b/tools/lspar-soak/latecallers.cpp
@@ -22,8 +22,11 @@
 constexpr Milliseconds MaxIdleTime{2000};
 /// A request that was sent later than this after SIGTERM must not be broken off.
 constexpr Milliseconds LastExcusedSend{3000};
-/// A request that was sent earlier must not be broken off before this part of the grace period is over.
-constexpr auto FirstExcusedEnd = GracePeriod * 5 / 6;
+/// A request that was sent earlier must not be broken off before the last part of the grace period, one in so many.
+constexpr int ExcusedParts = 6;
+/// A connection that ends without an answer later than this after its request was sent has been cut, even if the
+/// request has not been passed on.
+constexpr Milliseconds LossSlack{200};
 /// Execution times, one of which is drawn for each request.
 constexpr std::array<int, 4> ExecutionTimesMs{30, 400, 1800, 4200};
 
@@ -126,7 +129,8 @@
         return;
     }
     m_checker.recordFailure(request.id);
-    if (!m_checker.wasExecuted(request.id)) {
+    const bool executed = m_checker.wasExecuted(request.id);
+    if (!executed && !(request.error && now - request.sent > LossSlack)) {
         return;
     }
     const auto sentAfter = std::chrono::duration_cast<Milliseconds>(request.sent - stop.requestedAt);
@@ -134,10 +138,15 @@
     const auto times = request.id + ", sent " + std::to_string(sentAfter.count()) + " ms and ended "
         + std::to_string(endedAfter.count()) + " ms after SIGTERM of " + stop.incarnation;
     if (request.error) {
-        m_checker.recordViolation("connection closed without an answer to an executed request: " + times);
+        m_checker.recordViolation("connection closed without an answer to "
+                                  + std::string(executed ? "an executed" : "a") + " request: " + times);
+    }
+    if (!executed) {
+        return;
     }
     const bool timedOut = now - request.sent >= RequestDeadline - DeadlineMargin;
-    const bool excused = sentAfter <= LastExcusedSend && endedAfter >= FirstExcusedEnd;
+    const bool excused
+        = sentAfter <= LastExcusedSend && endedAfter >= m_instances.gracePeriod() * (ExcusedParts - 1) / ExcusedParts;
     if (!excused && !timedOut) {
         m_checker.recordViolation("executed request was broken off: " + times);
     }
--- a/tools/lspar-soak/main.cpp
+++ b/tools/lspar-soak/main.cpp
@@ -29,6 +29,7 @@
         "seed", po::value(&options.seed), "random seed of the faults")(
         "stops", po::bool_switch(), "stop instances in calm instead of injecting faults")(
         "seconds", po::value(&options.seconds), "duration of the phase with faults or stops, in seconds")(
+        "grace", po::value(&options.graceSeconds), "time from SIGTERM until an instance must have exited, in seconds")(
         "instances", po::value(&options.instances), "number of instances")(
         "upstreams", po::value(&options.upstreams), "initial number of upstreams")(
         "callers", po::value(&options.callers), "number of callers")(
--- a/tools/lspar-soak/soaktest.cpp
+++ b/tools/lspar-soak/soaktest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <cmath>
 #include <iostream>
 
 namespace laburnumspar::soak {
@@ -38,13 +39,18 @@
 constexpr double RouteTimeoutSeconds = 2;
 constexpr char Service[] = "work";
 
+Milliseconds gracePeriod(const Options &options)
+{
+    return Milliseconds(std::llround(options.graceSeconds * 1000));
+}
+
 } // namespace
 
 SoakTest::SoakTest(Options options)
     : m_options(std::move(options))
     , m_layout{m_options.basePort}
     , m_random(m_options.seed)
-    , m_instances(m_options.program, m_options.directory, m_layout, m_checker)
+    , m_instances(m_options.program, m_options.directory, m_layout, gracePeriod(m_options), m_checker)
     , m_store(m_context, m_layout.store())
     , m_callers(m_context, m_layout, m_instances, m_checker, m_options.seed + 1)
     , m_lateCallers(m_context, m_layout, m_instances, m_checker, m_options.seed + 2)
@@ -348,13 +354,14 @@
     log("instance " + std::to_string(n) + " receives SIGTERM in calm");
     m_instances.terminate(n);
     m_lateCallers.useUntilGone(n);
-    const auto left = unsigned(GracePeriod.count());
+    const auto left = unsigned(m_instances.gracePeriod().count());
     for (auto count = randomBelow(3); count > 0; --count) {
         after(randomDuration(0, left), [this, n] { disturbStop(n); });
     }
     // A third of the stops overlap the next one.
     const bool overlapping = randomBelow(3) == 0;
-    after(overlapping ? randomDuration(0, left) : GracePeriod + StopInterval, [this] { stopInstances(); });
+    after(overlapping ? randomDuration(0, left) : m_instances.gracePeriod() + StopInterval,
+          [this] { stopInstances(); });
 }
 
 void SoakTest::disturbStop(unsigned n)
--- a/tools/lspar-soak/soaktest.h
+++ b/tools/lspar-soak/soaktest.h
@@ -22,6 +22,7 @@
     std::string directory; ///< for settings and logs of the instances
     std::uint64_t seed = 1;
     unsigned seconds = 20; ///< duration of the phase with faults or stops
+    double graceSeconds = 6; ///< from SIGTERM until a process must have exited
     unsigned instances = 6;
     unsigned upstreams = 6; ///< initial number
     unsigned callers = 30;
