signals: a reload that fails unexpectedly does not disable the stop

The wait for the next signal was renewed after the signal had been handled. If a reload ended with an exception other than Error, an instance of serve noticed no signal from then on: SIGTERM had no effect, and SIGKILL cut all its requests. In run the exception left the thread of the signals and ended the process at once. Both now renew the wait first; run logs the failure, and serve logs it as it does for every handler. No run has shown such an exception; the cause was read from the code.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -288,8 +288,9 @@
             if (ec) {
                 return;
             }
-            signal == SIGHUP ? reload() : stop();
+            // First, so that an exception does not end the wait.
             waitForSignal();
+            signal == SIGHUP ? reload() : stop();
         });
     }
 
--- a/tools/laburnumspar/commands.cpp
+++ b/tools/laburnumspar/commands.cpp
@@ -68,10 +68,10 @@
 class SignalThread
 {
 public:
-    SignalThread(Instance &instance, std::string file)
+    SignalThread(Instance &instance, const std::string &file)
         : m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     {
-        wait(instance, std::move(file));
+        wait(instance, file);
         m_thread = std::thread([this] { m_context.run(); });
     }
     ~SignalThread()
@@ -83,14 +83,15 @@
     SignalThread &operator=(const SignalThread &) = delete;
 
 private:
-    void wait(Instance &instance, std::string file)
+    void wait(Instance &instance, const std::string &file)
     {
-        m_signals.async_wait([this, &instance, file = std::move(file)](detail::error_code ec, int signal) {
+        m_signals.async_wait([this, &instance, file](detail::error_code ec, int signal) {
             if (ec) {
                 return;
             }
-            signal == SIGHUP ? reload(instance, file) : instance.requestStop();
+            // First, so that an exception does not end the wait.
             wait(instance, file);
+            signal == SIGHUP ? reload(instance, file) : instance.requestStop();
         });
     }
 
@@ -98,7 +99,9 @@
     {
         try {
             instance.reload(readSettings(file));
-        } catch (const Error &e) {
+        } catch (const InvariantError &) {
+            throw;
+        } catch (const std::exception &e) {
             logEvent(LogLevel::Error, "settings.reload-failed", {{"error", e.what()}});
         }
     }
