gateway: phases of a stop begin on time, and do not move with a reload

With a grace period of 2 s a stopping instance was killed before it had ended by itself: final answers were due 0.2 s and the exit 0.083 s before the end, but phases began at ticks of 100 ms, so that the exit came up to 0.02 s after SIGKILL (last tick seen: 1953 ms). The times are fixed at the signal: a reload during a stop moved those of the phases, while the forwarder kept the first, and the platform kills by the period that it had at the signal.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/changesreply.h"
 #include "gateway/grouplink.h"
 #include "gateway/statedump.h"
+#include "gateway/stopschedule.h"
 #include "gateway/storefollower.h"
 #include "laburnumspar/log.h"
 #include "laburnumspar/upstreamassignment.h"
@@ -22,18 +23,9 @@
 
 constexpr Milliseconds TickInterval{100};
 constexpr Milliseconds StandbyTickInterval{200};
-/// Lifetime of the answer to an address query.
-constexpr Milliseconds AddressLifetime{950};
-/// Some callers use the answer to an address query for up to this many lifetimes, so an instance that stops keeps
-/// serving for as long.
-constexpr int MaxAddressLifetimes = 3;
-/// This long before the end of the grace time, all requests that still run get a final answer.
-constexpr Milliseconds MaxStopMargin{600};
-/// The process exits by itself this long before the end of the grace time, even if answers have not been written.
-constexpr Milliseconds MaxExitMargin{250};
-/// The margins are at most these parts of the grace time, so that requests are not broken off early in a short one.
-constexpr int MinStopMargins = 10;
-constexpr int MinExitMargins = 24;
+/// Interval at which a stopping instance checks whether it may exit, and shortest time for the final answers.
+constexpr Milliseconds StopCheckInterval{20};
+constexpr Milliseconds MinAnswerTime{100};
 /// Minimum time from the stop signal to the exit of an instance without traffic, so that the others learn that it
 /// leaves.
 constexpr Milliseconds IdleStopTime{300};
@@ -100,6 +92,7 @@
         , follower(context, settings, adapter, group, serviceRegistry, {[this] { link.announce(); }})
         , signals(context, SIGTERM, SIGINT, SIGHUP)
         , ticker(context)
+        , stopTimer(context)
     {
         serviceRegistry.setExplorer([this](const RegisteredUpstream &it) { return assignment.isExplorer(it); });
         serviceRegistry.setRateShare([this](const RegisteredUpstream &it) { return assignment.rateShare(it); });
@@ -145,9 +138,10 @@
     ChangesReplies changesReplies;
     asio::signal_set signals;
     asio::steady_timer ticker;
-    std::optional<TimePoint> stopRequestedAt;
+    asio::steady_timer stopTimer;
+    std::optional<StopSchedule> schedule; ///< set by the signal to stop
     bool finishing = false; ///< no connections are accepted any more
-    bool ended = false; ///< all requests have got a final answer
+    std::optional<TimePoint> endedAt; ///< when all requests got a final answer
     bool hadTraffic = false; ///< whether the instance was active or had callers when the stop was requested
     double load = 0; ///< smoothed CPU usage, in thousandths of a core
     double lastCpuSeconds = processCpuSeconds();
@@ -204,7 +198,7 @@
 
     bool isReady() const
     {
-        return !stopRequestedAt && follower.isComplete();
+        return !schedule && follower.isComplete();
     }
 
     awaitable<HttpResponse> answerReadiness(HttpRequest request)
@@ -309,26 +303,26 @@
 
     void stop()
     {
-        if (stopRequestedAt) {
+        if (schedule) {
             return;
         }
         const auto now = Clock::now();
-        stopRequestedAt = now;
+        schedule.emplace(now, settings.bounds.graceTime);
+        callers.startClosing();
+        callers.refuseFrom(schedule->refuseFrom);
+        forwarder.endBy(schedule->endAt);
+        scheduleStopCheck();
         hadTraffic = group.self().role == InstanceRole::Active || callers.connections() > 0;
         logEvent(LogLevel::Info,
                  "instance.stopping",
                  {{"role", name(group.self().role)}, {"connections", callers.connections()}});
         group.leave();
         link.announce();
-        callers.startClosing();
-        callers.refuseFrom(now + servingTime());
-        forwarder.endBy(now + settings.bounds.graceTime - stopMargin());
     }
 
     void scheduleTick()
     {
-        const bool standby
-            = group.self().role == InstanceRole::Standby && forwarder.inFlight() == 0 && !stopRequestedAt;
+        const bool standby = group.self().role == InstanceRole::Standby && forwarder.inFlight() == 0 && !schedule;
         ticker.expires_after(standby ? StandbyTickInterval : TickInterval);
         ticker.async_wait([this](error_code ec) {
             if (!ec) {
@@ -347,38 +341,34 @@
         forwarder.tick(now);
         memory.tick(now);
         flushLog();
-        if (stopRequestedAt) {
-            continueStop(now);
-        }
     }
 
-    /// Time for which a stopping instance serves the callers that still use its address.
-    Milliseconds servingTime() const
+    /// Ticks are too far apart for the last phases of a short grace time.
+    void scheduleStopCheck()
     {
-        return std::min(MaxAddressLifetimes * AddressLifetime, settings.bounds.graceTime / 2);
-    }
-
-    Milliseconds stopMargin() const
-    {
-        return std::min(MaxStopMargin, settings.bounds.graceTime / MinStopMargins);
+        stopTimer.expires_after(StopCheckInterval);
+        stopTimer.async_wait([this](error_code ec) {
+            if (!ec) {
+                scheduleStopCheck();
+                continueStop(Clock::now());
+            }
+        });
     }
 
     void continueStop(TimePoint now)
     {
-        const auto left = *stopRequestedAt + settings.bounds.graceTime - now;
-        const auto exitMargin = std::min(MaxExitMargin, settings.bounds.graceTime / MinExitMargins);
         if (finishing && hasStopped(now)) {
             shutDown();
-        } else if (left <= stopMargin() && !ended) {
-            ended = true;
+        } else if (now >= schedule->endAt && !endedAt) {
+            endedAt = now;
             logStopPhase("ending", now);
             callers.refuseFrom(now);
             callers.refuseUnread();
             forwarder.endAll(now);
-        } else if (left <= exitMargin) {
+        } else if (now >= schedule->exitAt && now >= *endedAt + MinAnswerTime) {
             shutDown();
         } else if (!finishing && hasStopped(now)) {
-            // The next ticks read and refuse what has arrived meanwhile.
+            // The next checks read and refuse what has arrived meanwhile.
             finishing = true;
             logStopPhase("finishing", now);
             callers.finishAccepting();
@@ -413,8 +403,8 @@
     /// Whether the instance has served for as long as callers use its address, and has nothing left to do.
     bool hasStopped(TimePoint now) const
     {
-        const auto minStopTime = hadTraffic ? servingTime() : IdleStopTime;
-        return now - *stopRequestedAt >= minStopTime && callers.activeRequests() == 0 && forwarder.inFlight() == 0;
+        const auto earliest = hadTraffic ? schedule->refuseFrom : schedule->requested + IdleStopTime;
+        return now >= earliest && callers.activeRequests() == 0 && forwarder.inFlight() == 0;
     }
 
     void logStopPhase(std::string_view phase, TimePoint now) const
@@ -422,7 +412,7 @@
         logEvent(LogLevel::Info,
                  "instance.stop-phase",
                  {{"phase", phase},
-                  {"ms", std::chrono::duration<double, std::milli>(now - *stopRequestedAt).count()},
+                  {"ms", std::chrono::duration<double, std::milli>(now - schedule->requested).count()},
                   {"requests", callers.activeRequests()},
                   {"in_flight", forwarder.inFlight()}});
     }
@@ -431,7 +421,7 @@
     {
         logEvent(LogLevel::Info,
                  "instance.stopped",
-                 {{"ms", std::chrono::duration<double, std::milli>(Clock::now() - *stopRequestedAt).count()},
+                 {{"ms", std::chrono::duration<double, std::milli>(Clock::now() - schedule->requested).count()},
                   {"in_flight", forwarder.inFlight()},
                   {"connections", callers.connections()}});
         callers.close();
