gateway: a stop is measured from the signal, not from its handling

A busy or paused instance took the moment at which its event loop handled SIGTERM for the beginning of the grace period, believed to have more time than the platform gives it, and could be killed with requests that it still ran. A process that is paused gets the signal when it continues: if a tick is more than 0.25 s late at that moment, the stop counts from the last tick before, the earliest time at which the signal can have been sent. An instance that was paused may so end up to the length of the pause too early, with final answers; it never ends later than the platform allows. instance.stopping says how late the signal was handled (late_ms).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "laburnumspar/log.h"
 #include "laburnumspar/upstreamassignment.h"
 #include "net/httpserver.h"
+#include "net/signaltime.h"
 
 #include <sys/resource.h>
 
@@ -91,6 +92,7 @@
         , link(context, settings, group, linkHooks())
         , follower(context, settings, adapter, group, serviceRegistry, {[this] { link.announce(); }})
         , signals(context, SIGTERM, SIGINT, SIGHUP)
+        , stopSignalTime({SIGTERM, SIGINT})
         , ticker(context)
         , stopTimer(context)
     {
@@ -137,8 +139,10 @@
     StoreFollower follower;
     ChangesReplies changesReplies;
     asio::signal_set signals;
+    SignalTime stopSignalTime;
     asio::steady_timer ticker;
     asio::steady_timer stopTimer;
+    PauseDetector pauses{Clock::now()};
     std::optional<StopSchedule> schedule; ///< set by the signal to stop
     bool finishing = false; ///< no connections are accepted any more
     std::optional<TimePoint> endedAt; ///< when all requests got a final answer
@@ -307,7 +311,9 @@
             return;
         }
         const auto now = Clock::now();
-        schedule.emplace(now, settings.bounds.graceTime);
+        const auto received = std::min(now, stopSignalTime.first().value_or(now));
+        const auto requested = pauses.earliestSent(received);
+        schedule.emplace(requested, settings.bounds.graceTime);
         callers.startClosing();
         callers.refuseFrom(schedule->refuseFrom);
         forwarder.endBy(schedule->endAt);
@@ -315,27 +321,33 @@
         hadTraffic = group.self().role == InstanceRole::Active || callers.connections() > 0;
         logEvent(LogLevel::Info,
                  "instance.stopping",
-                 {{"role", name(group.self().role)}, {"connections", callers.connections()}});
+                 {{"role", name(group.self().role)},
+                  {"connections", callers.connections()},
+                  {"late_ms", std::chrono::duration<double, std::milli>(now - requested).count()}});
         group.leave();
         link.announce();
     }
 
-    void scheduleTick()
+    /// Returns the time until the next tick.
+    Milliseconds scheduleTick()
     {
         const bool standby = group.self().role == InstanceRole::Standby && forwarder.inFlight() == 0 && !schedule;
-        ticker.expires_after(standby ? StandbyTickInterval : TickInterval);
+        const auto interval = standby ? StandbyTickInterval : TickInterval;
+        ticker.expires_after(interval);
         ticker.async_wait([this](error_code ec) {
             if (!ec) {
                 tick();
             }
         });
+        return interval;
     }
 
     void tick()
     {
         // First, so that an exception does not end the ticks.
-        scheduleTick();
+        const auto interval = scheduleTick();
         const auto now = Clock::now();
+        pauses.recordTick(now, interval);
         measureLoad(now);
         link.tick(now);
         forwarder.tick(now);
--- a/src/gateway/stopschedule.cpp
+++ b/src/gateway/stopschedule.cpp
@@ -16,6 +16,8 @@
 /// The margins are at most these parts of the grace time. Requests must not be broken off before its last sixth.
 constexpr int MinStopMargins = 8;
 constexpr int MinExitMargins = 16;
+/// A periodic task that is this late shows that the process was paused.
+constexpr Milliseconds PauseThreshold{250};
 
 } // namespace
 
@@ -27,4 +29,28 @@
 {
 }
 
+void PauseDetector::recordTick(TimePoint now, Milliseconds interval)
+{
+    if (isLate(now)) {
+        m_pauseBegin = m_lastTick;
+        m_pauseEnd = now;
+    }
+    m_lastTick = now;
+    m_nextTick = now + interval;
+}
+
+TimePoint PauseDetector::earliestSent(TimePoint received) const
+{
+    if (isLate(received)) {
+        return m_lastTick;
+    }
+    // The task may have run between the end of the pause and the handling of the signal.
+    return received > m_pauseBegin && received <= m_pauseEnd ? m_pauseBegin : received;
+}
+
+bool PauseDetector::isLate(TimePoint now) const
+{
+    return now > m_nextTick + PauseThreshold;
+}
+
 } // namespace laburnumspar::detail
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -19,4 +19,29 @@
     TimePoint exitAt; ///< the process exits, even if answers have not been written
 };
 
+/// Knows from the times of a periodic task when the process was paused.
+class PauseDetector
+{
+public:
+    explicit PauseDetector(TimePoint now)
+        : m_lastTick(now)
+        , m_nextTick(now)
+    {
+    }
+
+    /// To be called when the task runs. `interval`: until it runs next.
+    void recordTick(TimePoint now, Milliseconds interval);
+    /// Earliest time at which a signal may have been sent that arrived at `received`. A process that is paused gets its
+    /// signals when it continues.
+    TimePoint earliestSent(TimePoint received) const;
+
+private:
+    bool isLate(TimePoint now) const;
+
+    TimePoint m_lastTick;
+    TimePoint m_nextTick;
+    TimePoint m_pauseBegin;
+    TimePoint m_pauseEnd;
+};
+
 } // namespace laburnumspar::detail
