--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -3,8 +3,7 @@
 #include "laburnumspar/errors.h"
 #include "laburnumspar/log.h"
 #include "net/requestframing.h"
-
-#include <sys/socket.h>
+#include "net/socketstate.h"
 
 namespace laburnumspar::detail {
 
@@ -12,12 +11,9 @@
 
 /// Time to send a response to a client that does not read.
 constexpr Milliseconds WriteTimeout{20'000};
-
-bool isClosedByPeer(tcp::socket &socket)
-{
-    char byte = 0;
-    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
+constexpr std::size_t FirstReadBytes = 4 << 10;
+/// Bytes that are discarded after the last answer, at most. Clients that send more are reset.
+constexpr std::size_t MaxDrainedBytes = 4 << 20;
 
 } // namespace
 
@@ -46,6 +42,8 @@
     Connection(std::shared_ptr<State> state, tcp::socket socket)
         : m_state(std::move(state))
         , m_stream(std::move(socket))
+        , m_closeTimer(m_stream.get_executor())
+        , m_buf(MaxUnparsedBytes)
     {
         ++m_state->connections;
         std::lock_guard lock(m_state->mutex);
@@ -63,13 +61,15 @@
     awaitable<void> run()
     {
         auto self = shared_from_this();
-        beast::flat_buffer buf(MaxUnparsedBytes);
         while (!m_closeRequested) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(m_state->limits.maxBodyBytes);
             parser.header_limit(m_state->limits.maxHeaderBytes);
             m_stream.expires_after(m_state->limits.idleTimeout);
-            const auto ec = co_await readMessage(m_stream, buf, parser, &m_state->pendingRequests);
+            auto ec = co_await readFirstBytes();
+            if (!ec) {
+                ec = co_await readMessage(m_stream, m_buf, parser, &m_state->pendingRequests);
+            }
             if (ec) {
                 co_await refuseBadInput(ec);
                 break;
@@ -79,20 +79,26 @@
                 break;
             }
             m_stream.expires_never();
+            if (m_clientClosed) {
+                // Nobody may be left to read the answer.
+                co_await refuse(
+                    http::status::service_unavailable, Reason::Cancelled, "the caller has closed its connection");
+                break;
+            }
             if (!co_await serve(parser.release())) {
                 break;
             }
         }
-        error_code ignored;
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        co_await drain();
+        m_stream.close();
     }
 
-    /// Closes the connection now, or after the response if a request is in flight.
+    /// Closes the connection now, or after the response if a request is arriving or in flight.
     void closeIfIdle()
     {
         asio::post(m_stream.get_executor(), [self = shared_from_this()] {
             self->m_closeRequested = true;
-            if (!self->m_busy) {
+            if (self->m_idle && !hasUnreadData(self->m_stream.socket())) {
                 self->m_stream.cancel();
             }
         });
@@ -109,24 +115,42 @@
     }
 
 private:
+    /// Waits for the first bytes of a request. Empty lines do not begin one.
+    awaitable<error_code> readFirstBytes()
+    {
+        discardEmptyLines(m_buf);
+        while (m_buf.size() == 0) {
+            m_idle = true;
+            auto [ec, n] = co_await m_stream.async_read_some(m_buf.prepare(FirstReadBytes), NoThrowAwaitable);
+            m_idle = false;
+            if (ec) {
+                // As the parser reports an end between two requests.
+                co_return ec == asio::error::eof ? error_code(http::error::end_of_stream) : ec;
+            }
+            m_buf.commit(n);
+            discardEmptyLines(m_buf);
+        }
+        co_return error_code();
+    }
+
     awaitable<bool> serve(HttpRequest request)
     {
-        m_busy = true;
         ++m_state->inFlight;
         m_cancellation = std::make_shared<Cancellation>();
-        watchForClose();
+        watch();
         const auto version = request.version();
         const bool keepAlive = request.keep_alive();
         auto response = co_await handle(std::move(request));
         response.version(version);
         response.keep_alive(keepAlive && !m_state->closing);
         response.prepare_payload();
+        m_cancellation.reset();
+        m_closeTimer.cancel();
         m_stream.socket().cancel();
         m_stream.expires_after(WriteTimeout);
         auto [ec, n] = co_await http::async_write(m_stream, response, NoThrowAwaitable);
-        m_cancellation.reset();
+        releaseEarlyBytes();
         --m_state->inFlight;
-        m_busy = false;
         co_return !ec && response.keep_alive();
     }
 
@@ -148,17 +172,84 @@
         co_return response;
     }
 
-    // Cancels the request if the client closes its connection.
-    void watchForClose()
+    /// Waits until bytes arrive or the client closes the connection while a request is being handled.
+    void watch()
     {
         m_stream.socket().async_wait(tcp::socket::wait_read,
-                                     [self = shared_from_this(), cancellation = m_cancellation](error_code ec) {
-                                         if (!ec && isClosedByPeer(self->m_stream.socket())) {
-                                             cancellation->cancel();
+                                     [self = shared_from_this(), request = m_cancellation](error_code ec) {
+                                         if (!ec && self->m_cancellation == request) {
+                                             self->readEarlyBytes();
                                          }
                                      });
     }
 
+    /// Reads what the client sends before it has received the answer to its request: the start of its next requests, or
+    /// the end of its connection.
+    void readEarlyBytes()
+    {
+        if (m_buf.size() >= MaxEarlyBytes || !reserveEarlyBytes()) {
+            pollForClose();
+            return;
+        }
+        const auto input = readArrived(m_stream.socket(), m_buf, MaxEarlyBytes);
+        if (input == Input::Bytes || input == Input::None) {
+            watch();
+        } else {
+            onClosed();
+        }
+    }
+
+    /// Early bytes count as a request that has not arrived completely.
+    bool reserveEarlyBytes()
+    {
+        m_earlyReserved = m_earlyReserved || m_state->pendingRequests.reserve(MaxEarlyBytes);
+        return m_earlyReserved;
+    }
+
+    void releaseEarlyBytes()
+    {
+        if (std::exchange(m_earlyReserved, false)) {
+            m_state->pendingRequests.release(MaxEarlyBytes);
+        }
+    }
+
+    void pollForClose()
+    {
+        m_closeTimer.expires_after(ClosePollInterval);
+        m_closeTimer.async_wait([self = shared_from_this(), request = m_cancellation](error_code ec) {
+            if (!ec && self->m_cancellation == request) {
+                closedByPeer(self->m_stream.socket()) ? self->onClosed() : self->pollForClose();
+            }
+        });
+    }
+
+    /// The client has closed its connection, or only its sending side; which of the two is known when the answer is
+    /// written.
+    void onClosed()
+    {
+        m_clientClosed = true;
+        m_cancellation->cancelByCaller();
+    }
+
+    /// Discards what the client has sent after its last request that is answered. A close with unread bytes resets the
+    /// connection, and the client may lose the end of the answer.
+    awaitable<void> drain()
+    {
+        error_code ec;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        if (ec || !(m_unread || hasUnreadData(m_stream.socket()))) {
+            co_return;
+        }
+        logEvent(LogLevel::Debug, "connection.closed-unread", {});
+        m_buf.clear();
+        m_stream.expires_after(DrainTimeout);
+        for (std::size_t drained = 0; !ec && drained < MaxDrainedBytes;) {
+            auto [readError, n] = co_await m_stream.async_read_some(m_buf.prepare(DrainedBytes), NoThrowAwaitable);
+            ec = readError;
+            drained += n;
+        }
+    }
+
     awaitable<void> refuseBadInput(error_code ec)
     {
         if (ec == asio::error::no_buffer_space) {
@@ -172,6 +263,7 @@
     /// Answers a request that has not been read completely. The connection has to be closed after it.
     awaitable<void> refuse(http::status status, Reason reason, std::string detail)
     {
+        m_unread = true;
         auto response = makeResponse(status,
                                      "application/json",
                                      R"({"outcome":"not-run","reason":")" + std::string(name(reason))
@@ -183,8 +275,13 @@
 
     std::shared_ptr<State> m_state;
     beast::tcp_stream m_stream;
-    CancellationPtr m_cancellation;
-    bool m_busy = false;
+    asio::steady_timer m_closeTimer; ///< of pollForClose()
+    beast::flat_buffer m_buf;
+    CancellationPtr m_cancellation; ///< of the request that is being handled
+    bool m_earlyReserved = false;
+    bool m_clientClosed = false; ///< the client sends nothing more
+    bool m_unread = false; ///< the last request has been refused before it was read
+    bool m_idle = false; ///< no byte of a request has been read
     bool m_closeRequested = false;
 };
 
--- a/tests/test_httpserver.cpp
+++ b/tests/test_httpserver.cpp
@@ -113,3 +113,174 @@
     caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
     BOOST_TEST(caller.receive(100ms).starts_with("HTTP/1.1 200"));
 }
+
+namespace {
+
+/// A server whose handlers take a while, and note whether their requests are cancelled meanwhile.
+struct SlowFixture {
+    SlowFixture()
+        : server(context, serverAddress, {}, [this](HttpRequest request, CancellationPtr cancellation) {
+            return answer(std::move(request), std::move(cancellation));
+        })
+    {
+        server.start();
+    }
+    ~SlowFixture()
+    {
+        server.close();
+        context.restart();
+        context.run_for(50ms);
+    }
+
+    awaitable<HttpResponse> answer(HttpRequest request, CancellationPtr cancellation)
+    {
+        ++requests;
+        last = cancellation;
+        if (request.method() == http::verb::post) {
+            cancellation->keepWithoutCaller();
+        }
+        co_await sleepFor(time);
+        co_return makeResponse(http::status::ok,
+                               "text/plain",
+                               (cancellation->isCancelled() ? "cancelled " : "done ") + request.body()
+                                   + std::string(padding, '.'));
+    }
+
+    /// A request that goes on if its caller leaves, or with another method one that does not.
+    static std::string request(const std::string &body, const std::string &method = "POST")
+    {
+        return method + " / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    asio::io_context context{1};
+    Milliseconds time{300};
+    std::size_t padding = 0; ///< of answers, in bytes
+    unsigned requests = 0;
+    CancellationPtr last; ///< of the last request
+    HttpServer server;
+};
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a close that is not noticed once a byte of the next request has arrived.
+BOOST_FIXTURE_TEST_CASE(closeBehindEarlyBytesIsNoticed, SlowFixture)
+{
+    time = 3s;
+    for (const std::size_t early : {1, 64 << 10}) {
+        auto caller = std::make_unique<RawCaller>(context, serverAddress);
+        caller->send(request("r1", "PUT"));
+        caller->receive(100ms);
+        caller->send(std::string(early, 'G'));
+        caller->receive(100ms);
+        BOOST_REQUIRE(last);
+        BOOST_TEST(!last->isCancelled());
+        caller.reset();
+        context.restart();
+        context.run_for(500ms);
+        BOOST_TEST(last->isCancelled(), early << " early bytes");
+        last.reset();
+    }
+}
+
+// Guards against losing requests that are sent before the answers to earlier ones.
+BOOST_FIXTURE_TEST_CASE(earlyRequestsAreAnsweredInOrder, SlowFixture)
+{
+    RawCaller caller(context, serverAddress);
+    caller.send(request("r1"));
+    caller.receive(100ms);
+    caller.send(request("r2") + request("r3"));
+    const auto answers = caller.receive(1200ms);
+    BOOST_TEST(answers.find("done r1") < answers.find("done r2"));
+    BOOST_TEST(answers.find("done r2") < answers.find("done r3"));
+    BOOST_TEST(contains(answers, "done r3"));
+}
+
+// Guards against refusing a request because an empty line precedes it, as some callers send it.
+BOOST_FIXTURE_TEST_CASE(emptyLinesBetweenRequestsAreIgnored, SlowFixture)
+{
+    time = 10ms;
+    RawCaller caller(context, serverAddress);
+    caller.send("\r\n" + request("r1") + "\r\n");
+    BOOST_TEST(contains(caller.receive(100ms), "done r1"));
+    caller.send("\r\n");
+    caller.receive(50ms);
+    caller.send("\r\n" + request("r2"));
+    BOOST_TEST(contains(caller.receive(100ms), "done r2"));
+    BOOST_TEST(!caller.closed);
+}
+
+// Guards against a reset that destroys the end of the last answer because the caller has sent more than has been read.
+BOOST_FIXTURE_TEST_CASE(lastAnswerIsNotResetByUnreadBytes, SlowFixture)
+{
+    padding = 2 << 20; // more than the caller's side of the connection takes before it is read
+    server.startClosing();
+    RawCaller caller(context, serverAddress);
+    caller.send(request("r1"));
+    context.restart();
+    context.run_for(100ms);
+    caller.send(std::string(64 << 10, 'x'));
+    context.restart();
+    context.run_for(500ms);
+    const auto answer = caller.receive(500ms);
+    BOOST_TEST(contains(answer, "Connection: close"));
+    BOOST_TEST(answer.size() > padding);
+    BOOST_TEST(caller.closed);
+    BOOST_TEST(caller.send("more"));
+}
+
+// Guards against a reset that destroys the refusal of a request whose caller still sends its body.
+BOOST_FIXTURE_TEST_CASE(refusalIsNotResetByTheRestOfTheRequest, SlowFixture)
+{
+    RawCaller caller(context, serverAddress);
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10000000000\r\n\r\n" + std::string(64 << 10, 'x'));
+    BOOST_TEST(contains(caller.receive(100ms), "HTTP/1.1 400"));
+    BOOST_TEST(caller.send("more"));
+    BOOST_TEST(caller.send("more"));
+}
+
+// Guards against losing the answer of a caller that closes its sending side after its request, and against cancelling a
+// request whose effect is wanted although its caller may have left.
+BOOST_FIXTURE_TEST_CASE(halfClosedConnectionsGetTheirAnswer, SlowFixture)
+{
+    RawCaller caller(context, serverAddress);
+    caller.send(request("r1"));
+    caller.receive(100ms);
+    caller.closeSendingSide();
+    BOOST_TEST(contains(caller.receive(500ms), "done r1"));
+    RawCaller other(context, serverAddress);
+    other.send(request("r2", "PUT"));
+    other.receive(100ms);
+    other.closeSendingSide();
+    BOOST_TEST(contains(other.receive(500ms), "cancelled r2"));
+}
+
+// Guards against running a request whose caller has closed its connection before it was started.
+BOOST_FIXTURE_TEST_CASE(earlyRequestsOfCallersThatLeftAreNotRun, SlowFixture)
+{
+    RawCaller caller(context, serverAddress);
+    caller.send(request("r1") + request("r2"));
+    caller.receive(100ms);
+    caller.closeSendingSide();
+    const auto answers = caller.receive(1s);
+    BOOST_TEST(contains(answers, "not-run"));
+    BOOST_TEST(requests == 1U);
+}
+
+// Guards against closing a connection while a request arrives on it.
+BOOST_FIXTURE_TEST_CASE(requestsThatAreBeingReadOutlastAClose, SlowFixture)
+{
+    const auto text = request("r1");
+    RawCaller caller(context, serverAddress);
+    caller.send(text.substr(0, 20));
+    caller.receive(50ms);
+    server.close();
+    caller.receive(50ms);
+    caller.send(text.substr(20));
+    BOOST_TEST(contains(caller.receive(500ms), "done r1"));
+    BOOST_TEST(caller.closed);
+}
