store mirror: values are shared by the copies of an item

Each new version of the routes was copied and hashed several times on the thread that accepts connections: into the item in use, into the answer to a pull, and twice for the digest of the mirror.

The value of an item is an immutable text that its copies share; its hash is computed once, where the value is decoded, which is the worker thread for large ones.

test_storemirror: passed-on values have the address of the first one.

--- a/include/laburnumspar/storemirror.h
+++ b/include/laburnumspar/storemirror.h
@@ -13,10 +13,47 @@
 
 class RouteTable;
 
+/// Immutable text with its hash. Copies share the memory.
+class SharedText
+{
+public:
+    SharedText() = default;
+    SharedText(std::string text);
+    SharedText(const char *text);
+
+    const std::string &str() const;
+    operator const std::string &() const
+    {
+        return str();
+    }
+    std::size_t size() const
+    {
+        return str().size();
+    }
+    bool empty() const
+    {
+        return str().empty();
+    }
+    /// XXH32 of the text, computed when the text was set.
+    std::uint32_t hash() const;
+    void clear()
+    {
+        m_content.reset();
+    }
+    bool operator==(const SharedText &other) const
+    {
+        return m_content == other.m_content || (hash() == other.hash() && str() == other.str());
+    }
+
+private:
+    struct Content;
+    std::shared_ptr<const Content> m_content; ///< null for an empty text
+};
+
 /// One item of the operators' store at a revision, or its removal.
 struct StoreItem {
     std::string key;
-    std::string value;
+    SharedText value;
     Revision revision; ///< of the last change
     bool removed = false;
     std::uint32_t contentHash = 0; ///< equal for items of equivalent content; 0: the hash of the value is used
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -247,7 +247,7 @@
 {
     return encode([&](OutputArchive &ar) {
         bool complete = changes.complete;
-        auto routes = changes.routes;
+        auto routes = changes.routes.str();
         ar(ChangesMagic,
            changes.revision.era,
            changes.revision.number,
@@ -259,7 +259,7 @@
         for (const auto &item : changes.items) {
             auto key = item.key;
             bool compressed = item.compressed != nullptr;
-            auto value = compressed ? *item.compressed : item.value;
+            auto value = compressed ? *item.compressed : item.value.str();
             bool removed = item.removed;
             bool lapsed = item.lapsed;
             bool listed = item.listed;
@@ -280,23 +280,27 @@
     MirrorChanges changes;
     decode(bytes, ChangesMagic, [&](InputArchive &ar) {
         BoolField complete{changes.complete};
-        StringField routes{changes.routes, MaxItemBytes};
+        std::string routesText;
+        StringField routes{routesText, MaxItemBytes};
         ar(changes.revision.era, changes.revision.number, complete, routes, changes.gapEnd.era, changes.gapEnd.number);
+        changes.routes = std::move(routesText);
         const auto length = loadLength(ar, MaxItems);
         for (std::size_t n = 0; n < length; ++n) {
             auto &item = changes.items.emplace_back();
             StringField key{item.key, MaxKeyLength};
             bool isCompressed = false;
             BoolField compressed{isCompressed};
-            StringField value{item.value, MaxItemBytes};
+            std::string text;
+            StringField value{text, MaxItemBytes};
             BoolField removed{item.removed};
             BoolField lapsed{item.lapsed};
             BoolField listed{item.listed};
             ar(key, compressed, value, item.revision.era, item.revision.number, removed, lapsed, listed);
             if (isCompressed) {
-                item.compressed = std::make_shared<const std::string>(std::move(item.value));
-                item.value = uncompress(*item.compressed, MaxItemBytes);
+                item.compressed = std::make_shared<const std::string>(std::move(text));
+                text = uncompress(*item.compressed, MaxItemBytes);
             }
+            item.value = std::move(text);
         }
     });
     return changes;
--- a/src/gateway/groupmessages.h
+++ b/src/gateway/groupmessages.h
@@ -55,7 +55,7 @@
     Revision revision; ///< the sender's copy of the store contains all changes up to this revision
     std::vector<StoreItem> items;
     bool complete = false; ///< items that are missing here do not exist at `revision`
-    std::string routes{}; ///< value of the routes that the sender uses, which may be newer than its copy; may be empty
+    SharedText routes{}; ///< value of the routes that the sender uses, which may be newer than its copy; may be empty
     Revision gapEnd{}; ///< the sender may lack removals up to this revision that the receiver did not need
 };
 
--- a/src/gateway/storecopy.cpp
+++ b/src/gateway/storecopy.cpp
@@ -398,7 +398,7 @@
 }
 
 /// Uses the routes that another instance uses, if they are newer than those in its copy.
-void StoreCopy::useRoutesOfPeer(const std::string &value, Revision revision)
+void StoreCopy::useRoutesOfPeer(const SharedText &value, Revision revision)
 {
     StoreItem item;
     item.key = m_adapter.routesPrefix;
--- a/src/gateway/storecopy.h
+++ b/src/gateway/storecopy.h
@@ -97,7 +97,7 @@
     void use(const DecodedStoreItem &decoded, const StoreItem &item, TimePoint now);
     void useUpstream(const RegisteredUpstream &entry, const StoreItem &item, TimePoint now);
     void useRoutes(const std::shared_ptr<const RouteTable> &table, const StoreItem &item);
-    void useRoutesOfPeer(const std::string &value, Revision revision);
+    void useRoutesOfPeer(const SharedText &value, Revision revision);
     bool retain(const std::string &key, TimePoint now);
     bool isUsed(const std::string &key) const;
     bool isUpstreamKey(const std::string &key) const;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -81,7 +81,7 @@
             item.routes = std::move(*table);
         }
         if (item.compressed == nullptr) {
-            item.compressed = std::make_shared<const std::string>(compress(item.value));
+            item.compressed = std::make_shared<const std::string>(compress(item.value.str()));
         }
     } catch (const Error &) {
         // The error is logged when the item is applied.
--- a/src/storemirror.cpp
+++ b/src/storemirror.cpp
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <string_view>
+#include <utility>
 
 namespace laburnumspar {
 
@@ -18,12 +20,47 @@
     if (item.revision == Revision() || item.removed || item.lapsed) {
         return 0;
     }
-    const auto contentHash = item.contentHash != 0 ? item.contentHash : XXH32(item.value.data(), item.value.size(), 0);
+    const auto contentHash = item.contentHash != 0 ? item.contentHash : item.value.hash();
     return XXH32(item.key.data(), item.key.size(), contentHash);
 }
 
+std::uint32_t textHash(std::string_view text)
+{
+    return XXH32(text.data(), text.size(), 0);
+}
+
 } // namespace
 
+struct SharedText::Content {
+    std::string text;
+    std::uint32_t hash;
+};
+
+SharedText::SharedText(std::string text)
+{
+    if (!text.empty()) {
+        const auto hash = textHash(text);
+        m_content = std::make_shared<const Content>(Content{std::move(text), hash});
+    }
+}
+
+SharedText::SharedText(const char *text)
+    : SharedText(std::string(text))
+{
+}
+
+const std::string &SharedText::str() const
+{
+    static const std::string empty;
+    return m_content ? m_content->text : empty;
+}
+
+std::uint32_t SharedText::hash() const
+{
+    static const auto emptyHash = textHash({});
+    return m_content ? m_content->hash : emptyHash;
+}
+
 StoreMirror::ApplyResult StoreMirror::apply(StoreItem item, bool advanceRevision)
 {
     auto &known = m_items[item.key];
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -97,7 +97,7 @@
     const auto decoded = decodeChanges(encodeChanges(changes));
     BOOST_TEST((decoded.revision == Revision(2, 17)));
     BOOST_REQUIRE(decoded.items.size() == 2U);
-    BOOST_TEST(decoded.items[0].value == std::string("\0x", 2));
+    BOOST_TEST(decoded.items[0].value.str() == std::string("\0x", 2));
     BOOST_TEST((decoded.items[0].revision == Revision(1, 16)));
     BOOST_TEST((decoded.items[1].revision == Revision(2, 17)));
     BOOST_TEST(decoded.items[1].removed);
@@ -115,7 +115,7 @@
     BOOST_TEST(bytes.size() < value.size() / 10);
     const auto decoded = decodeChanges(bytes);
     BOOST_REQUIRE(decoded.items.size() == 1U);
-    BOOST_TEST(decoded.items[0].value == value);
+    BOOST_TEST(decoded.items[0].value.str() == value);
     BOOST_REQUIRE(decoded.items[0].compressed != nullptr);
     BOOST_TEST(*decoded.items[0].compressed == *changes.items[0].compressed);
     changes.items[0].compressed = std::make_shared<const std::string>("invalid");
--- a/tests/test_oddentries.cpp
+++ b/tests/test_oddentries.cpp
@@ -144,7 +144,7 @@
     BOOST_REQUIRE(page.items.size() == 3U);
     BOOST_CHECK_THROW(adapter.decodeItem(page.items[0]), DecodeError);
     BOOST_CHECK_THROW(adapter.decodeItem(page.items[1]), DecodeError);
-    BOOST_TEST(page.items[2].value == "{}");
+    BOOST_TEST(page.items[2].value.str() == "{}");
 }
 
 // Guards against keys that break the target of the next page, so that the list never ends.
--- a/tests/test_platformadapter.cpp
+++ b/tests/test_platformadapter.cpp
@@ -204,7 +204,7 @@
         2);
     BOOST_TEST((page.revision == Revision(2, 9)));
     BOOST_REQUIRE(page.items.size() == 2U);
-    BOOST_TEST(page.items[0].value == "node-1");
+    BOOST_TEST(page.items[0].value.str() == "node-1");
     BOOST_TEST((page.items[0].revision == Revision(2, 4)));
     BOOST_TEST((page.items[0].createdRevision == Revision(2, 1)));
     BOOST_TEST(page.items[1].removed);
--- a/tests/test_storecopy.cpp
+++ b/tests/test_storecopy.cpp
@@ -28,18 +28,19 @@
         return key.starts_with(UpstreamPrefix) ? key.substr(std::string_view(UpstreamPrefix).size()) : std::string();
     };
     adapter.decodeItem = [id = adapter.upstreamIdFromKey](const StoreItem &item) -> DecodedStoreItem {
+        const auto &value = item.value.str();
         if (item.key == ConfigKey) {
             ++routesDecoded;
-            if (item.value.find_first_not_of("0123456789") != std::string::npos) {
+            if (value.find_first_not_of("0123456789") != std::string::npos) {
                 throw DecodeError("invalid version");
             }
-            return RouteTable::Builder(std::stoull(item.value)).build();
+            return RouteTable::Builder(std::stoull(value)).build();
         }
         RegisteredUpstream entry;
         entry.id = id(item.key);
         entry.service = "s1";
-        entry.phase = item.value.starts_with("leaving") ? UpstreamPhase::Draining : UpstreamPhase::Serving;
-        entry.startedAtMs = std::stoll(item.value.substr(item.value.find(' ')));
+        entry.phase = value.starts_with("leaving") ? UpstreamPhase::Draining : UpstreamPhase::Serving;
+        entry.startedAtMs = std::stoll(value.substr(value.find(' ')));
         return entry;
     };
     return adapter;
@@ -315,7 +316,7 @@
             const auto *item = m_store.find(keyOf(id));
             if (process != m_processes.end() && (m_step + n) % 15 == 0) {
                 m_renewedAt[id] = m_step;
-                if (item == nullptr || item->value != process->second.value()) {
+                if (item == nullptr || item->value.str() != process->second.value()) {
                     m_store.put(keyOf(id), process->second.value());
                 }
             } else if (process == m_processes.end() && item != nullptr && m_step - m_renewedAt[id] > 45) {
--- a/tests/test_storemirror.cpp
+++ b/tests/test_storemirror.cpp
@@ -22,7 +22,7 @@
     BOOST_TEST((mirror.apply({"servers/a", "one", at(5), false}) == StoreMirror::ApplyResult::Unchanged));
     BOOST_TEST(mirror.find("servers/a")->removed);
     BOOST_TEST((mirror.apply({"servers/a", "two", at(12), false}) == StoreMirror::ApplyResult::Applied));
-    BOOST_TEST(mirror.find("servers/a")->value == "two");
+    BOOST_TEST(mirror.find("servers/a")->value.str() == "two");
     BOOST_TEST((mirror.newestRevision() == at(12)));
 }
 
@@ -133,3 +133,31 @@
     BOOST_TEST((mirror.find("a")->revision == at(12)));
     BOOST_TEST(mirror.digest() == empty);
 }
+
+// Guards against copies of values of a megabyte on the thread that accepts connections, each time they are passed on.
+BOOST_AUTO_TEST_CASE(passedOnValuesAreNotCopied)
+{
+    StoreMirror mirror;
+    StoreItem item{"routes", std::string(100'000, 'x'), at(1), false};
+    const auto *text = item.value.str().data();
+    const auto copy = item;
+    mirror.apply(std::move(item));
+    BOOST_TEST(mirror.find("routes")->value.str().data() == text);
+    BOOST_TEST(mirror.changesAfter({}).front().value.str().data() == text);
+    BOOST_TEST(copy.value.str().data() == text);
+}
+
+// Guards against values that count as equal, or as different, because of how their text is shared.
+BOOST_AUTO_TEST_CASE(sharedTextsAreComparedByTheirContent)
+{
+    const SharedText text("one");
+    BOOST_TEST((text == SharedText("one")));
+    BOOST_TEST(!(text == SharedText("two")));
+    BOOST_TEST((SharedText() == SharedText("")));
+    BOOST_TEST(text.hash() == SharedText("one").hash());
+    BOOST_TEST(SharedText().hash() == SharedText("").hash());
+    auto cleared = text;
+    cleared.clear();
+    BOOST_TEST(cleared.empty());
+    BOOST_TEST(text.size() == 3U);
+}
