gateway: large versions are decoded in time slices

Batch work is not preempted by a thread that becomes ready.

On the worker thread, a pause point ends a time slice of 5 ms with a short sleep; on others it does nothing.

test_pausepoint: large versions, pages and values reach the pause points, and the parts give the same result as the whole; there were none before.

--- a/src/gateway/backgroundworker.h
+++ b/src/gateway/backgroundworker.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "detail/pausepoint.h"
 #include "net/io.h"
 
 #include <atomic>
 #include <memory>
+#include <thread>
 #include <type_traits>
 
 namespace laburnumspar::detail {
@@ -25,6 +27,7 @@
         }
         const auto task = [this, &function]() -> awaitable<Result> {
             const BusyTime busy(*this);
+            const PauseHandler pauses([slice = TimeSlice()]() mutable { slice.endIfOver(); });
             co_return function();
         };
         co_return co_await asio::co_spawn(*m_pool, task, asio::use_awaitable);
@@ -53,6 +56,26 @@
     }
 
 private:
+    /// Time for which a calculation may keep the processor from the I/O thread. The scheduler may not end it: batch
+    /// work is not preempted by a thread that becomes ready.
+    class TimeSlice
+    {
+    public:
+        void endIfOver()
+        {
+            if (Clock::now() - m_begin >= Length) {
+                std::this_thread::sleep_for(Pause);
+                m_begin = Clock::now();
+            }
+        }
+
+    private:
+        static constexpr Milliseconds Length{5};
+        static constexpr std::chrono::microseconds Pause{50};
+
+        TimePoint m_begin = Clock::now();
+    };
+
     /// Adds the time of a calculation to the sum.
     class BusyTime
     {
--- a/src/gateway/compression.cpp
+++ b/src/gateway/compression.cpp
@@ -1,5 +1,6 @@
 #include "gateway/compression.h"
 
+#include "detail/pausepoint.h"
 #include "laburnumspar/errors.h"
 #include "laburnumspar/messages.h"
 
@@ -20,6 +21,8 @@
 constexpr int WindowBits = 15;
 constexpr int MemoryLevel = 6;
 constexpr std::size_t MinBlockBytes = 4096;
+/// Bytes that are compressed, or result from uncompressing, between two pause points.
+constexpr std::size_t MaxBlockBytes = 64 << 10;
 /// The data is preceded by its uncompressed length, in network byte order.
 constexpr std::size_t PrefixBytes = 4;
 
@@ -37,17 +40,22 @@
     zlib::deflate_stream stream;
     stream.reset(CompressionLevel, WindowBits, MemoryLevel, zlib::Strategy::normal);
     zlib::z_params params;
-    params.next_in = data.data();
-    params.avail_in = data.size();
+    params.avail_in = 0;
     boost::system::error_code ec;
     while (ec != zlib::error::end_of_stream) {
+        if (params.avail_in == 0) {
+            params.next_in = data.data();
+            params.avail_in = std::min(data.size(), MaxBlockBytes);
+            data.remove_prefix(params.avail_in);
+        }
         const auto length = result.size();
-        result.resize(length + std::max(MinBlockBytes, data.size() / 4));
+        result.resize(length + std::max(MinBlockBytes, params.avail_in / 4));
         params.next_out = result.data() + length;
         params.avail_out = result.size() - length;
         ec = {};
-        stream.write(params, zlib::Flush::finish, ec);
+        stream.write(params, data.empty() ? zlib::Flush::finish : zlib::Flush::none, ec);
         result.resize(result.size() - params.avail_out);
+        pausePoint();
         if (isFailure(ec)) {
             throw EncodeError("cannot compress: " + ec.message());
         }
@@ -73,7 +81,7 @@
     while (result.size() < expected) {
         const auto length = result.size();
         // The memory grows with the data that has arrived, not with the announced length.
-        result.resize(std::min<std::size_t>(expected, length + std::max(MinBlockBytes, length)));
+        result.resize(std::min<std::size_t>(expected, length + std::clamp(length, MinBlockBytes, MaxBlockBytes)));
         params.next_out = result.data() + length;
         params.avail_out = result.size() - length;
         boost::system::error_code ec;
@@ -82,6 +90,7 @@
         if (isFailure(ec) || result.size() == length) {
             throw DecodeError("invalid compressed message");
         }
+        pausePoint();
     }
     return result;
 }
--- a/src/routetable.cpp
+++ b/src/routetable.cpp
@@ -1,5 +1,6 @@
 #include "laburnumspar/routetable.h"
 
+#include "detail/pausepoint.h"
 #include "laburnumspar/errors.h"
 
 #include <algorithm>
@@ -9,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t RoutesPerPause = 128;
+
 /// Host name in lower case and without the port, since host names are case-insensitive and callers may add a port.
 std::string normalizedHost(std::string_view host)
 {
@@ -73,6 +76,9 @@
 {
     m_table.m_index.reserve(m_table.m_routes.size());
     for (std::size_t n = 0; n < m_table.m_routes.size(); ++n) {
+        if (n % RoutesPerPause == 0) {
+            detail::pausePoint();
+        }
         auto &route = m_table.m_routes[n];
         if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/') {
             throwInvalid(route, "prefix '" + route.prefix + "' must begin and end with '/'");
