gateway: routes that only another instance uses are decoded by the worker thread

After a loss of the store, an instance sends the newer routes that it uses beside its copy.

They are prepared by the worker thread like those of the store, unless they are in use already.

test_storefollower: the thread that decodes them; it was the I/O thread.

--- a/src/gateway/groupmessages.h
+++ b/src/gateway/groupmessages.h
@@ -57,6 +57,7 @@
     bool complete = false; ///< items that are missing here do not exist at `revision`
     SharedText routes{}; ///< value of the routes that the sender uses, which may be newer than its copy; may be empty
     Revision gapEnd{}; ///< the sender may lack removals up to this revision that the receiver did not need
+    std::shared_ptr<const RouteTable> routesTable{}; ///< decoded `routes`, if they have been decoded; not sent
 };
 
 Bytes encodeChanges(const MirrorChanges &changes);
--- a/src/gateway/storecopy.cpp
+++ b/src/gateway/storecopy.cpp
@@ -184,7 +184,7 @@
         }
     }
     if (!changes.routes.empty()) {
-        useRoutesOfPeer(changes.routes, changes.revision);
+        useRoutesOfPeer(changes);
     }
     m_mirror.recordGap(changes.complete ? changes.revision : changes.gapEnd);
     advanceTo(changes.revision);
@@ -398,15 +398,16 @@
 }
 
 /// Uses the routes that another instance uses, if they are newer than those in its copy.
-void StoreCopy::useRoutesOfPeer(const SharedText &value, Revision revision)
+void StoreCopy::useRoutesOfPeer(const MirrorChanges &changes)
 {
-    StoreItem item;
-    item.key = m_adapter.routesPrefix;
-    item.value = value;
-    item.revision = revision;
-    if (m_routesItem && m_routesItem->value == value) {
+    if (usesRoutes(changes.routes)) {
         return;
     }
+    StoreItem item;
+    item.key = m_adapter.routesPrefix;
+    item.value = changes.routes;
+    item.revision = changes.revision;
+    item.routes = changes.routesTable;
     const auto decoded = decode(item);
     const auto *table = decoded ? std::get_if<std::shared_ptr<const RouteTable>>(&*decoded) : nullptr;
     if (table != nullptr && !isOlderThanKnown(*decoded, false)) {
--- a/src/gateway/storecopy.h
+++ b/src/gateway/storecopy.h
@@ -54,6 +54,11 @@
     /// Returns the newest version of the routes among the items; null if it is known already or there is none. Its
     /// decoded and compressed value may be set before the items are applied.
     StoreItem *newestRoutes(std::vector<StoreItem> &items) const;
+    /// Whether the routes in use have this value.
+    bool usesRoutes(const SharedText &value) const
+    {
+        return m_routesItem && m_routesItem->value == value;
+    }
     /// Applies a page of a list, which is complete only with the last one. Returns false if the store has lost changes
     /// since the first page, so that the list cannot be completed.
     bool applyPage(PlatformAdapter::Page page, Listing &listing, TimePoint now);
@@ -97,7 +102,7 @@
     void use(const DecodedStoreItem &decoded, const StoreItem &item, TimePoint now);
     void useUpstream(const RegisteredUpstream &entry, const StoreItem &item, TimePoint now);
     void useRoutes(const std::shared_ptr<const RouteTable> &table, const StoreItem &item);
-    void useRoutesOfPeer(const SharedText &value, Revision revision);
+    void useRoutesOfPeer(const MirrorChanges &changes);
     bool retain(const std::string &key, TimePoint now);
     bool isUsed(const std::string &key) const;
     bool isUpstreamKey(const std::string &key) const;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -297,6 +297,7 @@
             changes = co_await m_worker.run(decode);
         }
         co_await prepareRoutes(changes.items);
+        co_await preparePeerRoutes(changes);
         logEvent(LogLevel::Info,
                  "group.pulled",
                  {{"from", ip},
@@ -333,13 +334,30 @@
 {
     auto *routes = m_copy.newestRoutes(items);
     if (routes != nullptr && routes->value.size() >= MinWorkerBytes) {
-        const auto prepare = [this, routes] { return prepareItem(m_adapter, *routes); };
-        auto prepared = co_await m_worker.run(prepare);
-        prepared.routes = m_worker.destroyLater(std::move(prepared.routes));
-        *routes = std::move(prepared);
+        *routes = co_await prepare(*routes);
     }
 }
 
+awaitable<void> StoreFollower::preparePeerRoutes(MirrorChanges &changes)
+{
+    if (changes.routes.size() >= MinWorkerBytes && !m_copy.usesRoutes(changes.routes)) {
+        StoreItem item;
+        item.key = m_adapter.routesPrefix;
+        item.value = changes.routes;
+        item.revision = changes.revision;
+        item = co_await prepare(std::move(item));
+        changes.routesTable = std::move(item.routes);
+    }
+}
+
+awaitable<StoreItem> StoreFollower::prepare(StoreItem item)
+{
+    const auto calculate = [this, &item] { return prepareItem(m_adapter, item); };
+    auto prepared = co_await m_worker.run(calculate);
+    prepared.routes = m_worker.destroyLater(std::move(prepared.routes));
+    co_return prepared;
+}
+
 awaitable<void> StoreFollower::readStore()
 {
     const auto before = m_copy.mirror().newestRevision();
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -121,6 +121,9 @@
     /// Decodes and compresses the newest version of the routes among the items, if it is large, before they are
     /// applied.
     awaitable<void> prepareRoutes(std::vector<StoreItem> &items);
+    /// Does the same for the routes that another instance uses.
+    awaitable<void> preparePeerRoutes(MirrorChanges &changes);
+    awaitable<StoreItem> prepare(StoreItem item);
     bool peerTimeoutExpired(TimePoint now) const;
     bool shallReadStore(TimePoint now) const;
     Milliseconds nextStoreDelay(TimePoint now) const;
--- a/tests/test_storefollower.cpp
+++ b/tests/test_storefollower.cpp
@@ -129,6 +129,7 @@
         const std::string target(request.target());
         const auto after = parseRevision(target.substr(target.find('=') + 1)).value();
         MirrorChanges changes{at(peerRevision), peerItems};
+        changes.routes = peerRoutes;
         std::erase_if(changes.items, [after](const StoreItem &it) { return it.revision <= after; });
         const auto bytes = encodeChanges(changes);
         const std::string body(bytes.begin(), bytes.end());
@@ -190,6 +191,7 @@
     int pullsFromSilentPeer = 0;
     bool peerCompresses = false;
     std::uint64_t peerRevision = 50;
+    std::string peerRoutes;
     std::vector<StoreItem> peerItems{{"servers/i-9", serverText, at(50), false}};
     StoreFollower follower;
 };
@@ -558,6 +560,30 @@
     BOOST_TEST(item->compressed != nullptr);
 }
 
+// Guards against decoding the newer routes that another instance uses, but the store has lost, in the thread that
+// accepts connections.
+BOOST_FIXTURE_TEST_CASE(routesInUseElsewhereAreDecodedByTheWorker, Fixture)
+{
+    storeUnresponsive = true;
+    std::atomic<std::thread::id> decodedBy;
+    adapter.decodeItem = [&, decodeItem = adapter.decodeItem](const StoreItem &item) {
+        if (item.key == adapter.routesPrefix) {
+            decodedBy = std::this_thread::get_id();
+        }
+        return decodeItem(item);
+    };
+    peerRoutes = makeLargeVersion(9);
+    follower.start();
+    auto status = makeStatus(peerIp);
+    status.storeRevision = at(50);
+    status.role = InstanceRole::Active;
+    group.receiveStatus(status, Clock::now());
+    follower.receivePeerStatus(status, Clock::now());
+    BOOST_TEST(runUntil([this] { return serviceRegistry.routes() != nullptr; }));
+    BOOST_TEST(serviceRegistry.routes()->version() == 9U);
+    BOOST_TEST((decodedBy.load() != std::this_thread::get_id()));
+}
+
 // Guards against freeing the blocks of 14,000 old routes in the thread that accepts connections: 30 to 60 ms of an
 // instance of 0.1 cores.
 BOOST_FIXTURE_TEST_CASE(oldRoutesAreReleasedByTheWorker, Fixture)
