--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -205,7 +205,7 @@
     namespace fields = wire::item;
     saveText(ar, fields::Key, item.key);
     saveField(ar, fields::Compressed, item.compressed != nullptr ? 1 : 0);
-    saveText(ar, fields::Value, item.compressed != nullptr ? *item.compressed : item.value);
+    saveText(ar, fields::Value, item.compressed != nullptr ? *item.compressed : item.value.str());
     saveField(ar, fields::Era, item.revision.era);
     saveField(ar, fields::Revision, item.revision.number);
     saveField(ar, fields::Removed, item.removed ? 1 : 0);
@@ -218,16 +218,17 @@
     namespace fields = wire::item;
     item.key = loadText(ar, fields::Key);
     const bool compressed = loadField(ar, fields::Compressed) == 1;
-    item.value = loadText(ar, fields::Value);
+    auto value = loadText(ar, fields::Value);
     item.revision.era = loadField(ar, fields::Era);
     item.revision.number = loadField(ar, fields::Revision);
     item.removed = loadField(ar, fields::Removed) == 1;
     item.lapsed = loadField(ar, fields::Lapsed) == 1;
     item.listed = loadField(ar, fields::Listed) == 1;
     if (compressed) {
-        item.compressed = std::make_shared<const std::string>(std::move(item.value));
-        item.value = uncompress(*item.compressed, wire::MaxItemBytes);
+        item.compressed = std::make_shared<const std::string>(std::move(value));
+        value = uncompress(*item.compressed, wire::MaxItemBytes);
     }
+    item.value = std::move(value);
 }
 
 template <typename Body>
@@ -316,7 +317,7 @@
         saveField(ar, fields::Era, changes.revision.era);
         saveField(ar, fields::Revision, changes.revision.number);
         saveField(ar, fields::Complete, changes.complete ? 1 : 0);
-        saveText(ar, fields::Routes, changes.routes);
+        saveText(ar, fields::Routes, changes.routes.str());
         saveField(ar, fields::GapEra, changes.gapEnd.era);
         saveField(ar, fields::GapRevision, changes.gapEnd.number);
         saveField(ar, fields::Count, changes.items.size());
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -81,7 +81,7 @@
             item.routes = std::move(*table);
         }
         if (item.compressed == nullptr) {
-            item.compressed = std::make_shared<const std::string>(compress(item.value));
+            item.compressed = std::make_shared<const std::string>(compress(item.value.str()));
         }
     } catch (const Error &) {
         // The error is logged when the item is applied.
@@ -297,6 +297,7 @@
             changes = co_await m_worker.run(decode);
         }
         co_await prepareRoutes(changes.items);
+        co_await preparePeerRoutes(changes);
         logEvent(LogLevel::Info,
                  "group.pulled",
                  {{"from", ip},
@@ -307,6 +308,7 @@
                   {"bytes", bytes},
                   {"ms", took}});
         ++m_pulls;
+        const ScopedStep step(m_hooks.stepEnded, "store.apply-pull");
         m_copy.applyPull(std::move(changes), Clock::now());
     } catch (const DecodeError &e) {
         rejectPull(ip, ReplyFailure::Malformed, e.what(), now);
@@ -332,12 +334,30 @@
 {
     auto *routes = m_copy.newestRoutes(items);
     if (routes != nullptr && routes->value.size() >= MinWorkerBytes) {
-        const auto prepare = [this, routes] { return prepareItem(m_adapter, *routes); };
-        auto prepared = co_await m_worker.run(prepare);
-        *routes = std::move(prepared);
+        *routes = co_await prepare(*routes);
     }
 }
 
+awaitable<void> StoreFollower::preparePeerRoutes(MirrorChanges &changes)
+{
+    if (changes.routes.size() >= MinWorkerBytes && !m_copy.usesRoutes(changes.routes)) {
+        StoreItem item;
+        item.key = m_adapter.routesPrefix;
+        item.value = changes.routes;
+        item.revision = changes.revision;
+        item = co_await prepare(std::move(item));
+        changes.routesTable = std::move(item.routes);
+    }
+}
+
+awaitable<StoreItem> StoreFollower::prepare(StoreItem item)
+{
+    const auto calculate = [this, &item] { return prepareItem(m_adapter, item); };
+    auto prepared = co_await m_worker.run(calculate);
+    prepared.routes = m_worker.destroyLater(std::move(prepared.routes));
+    co_return prepared;
+}
+
 awaitable<void> StoreFollower::readStore()
 {
     const auto before = m_copy.mirror().newestRevision();
@@ -376,6 +396,7 @@
     if (!complete) {
         co_return false;
     }
+    const ScopedStep step(m_hooks.stepEnded, "store.finish-listing");
     m_copy.finishListing(listing, Clock::now());
     m_listingPace.recordCompletion();
     co_return true;
@@ -395,6 +416,7 @@
         if (more) {
             after = page->items.back().key;
         }
+        const ScopedStep step(m_hooks.stepEnded, "store.apply-page");
         if (!m_copy.applyPage(std::move(*page), listing, Clock::now())) {
             co_return ReplyFailure::Unavailable;
         }
@@ -407,6 +429,7 @@
     const auto after = *m_copy.position();
     const auto target = m_adapter.watchTarget("", after, WatchWait);
     auto [page, failure] = co_await queryStore(target, WatchWait + ReadTimeout / 2, Query::Changes);
+    const ScopedStep step(m_hooks.stepEnded, "store.apply-changes");
     co_return page &&m_copy.applyChanges(std::move(*page), after, Clock::now());
 }
 
