--- a/src/gateway/groupfields.h
+++ b/src/gateway/groupfields.h
@@ -125,8 +125,9 @@
 inline constexpr WireRule Routes{"changes.routes", WireType::Text, 0, MaxItemBytes};
 inline constexpr WireRule GapEra{"changes.gap_era", WireType::Uint64, 0, MaxUint64};
 inline constexpr WireRule GapRevision{"changes.gap_revision", WireType::Uint64, 0, MaxRevision};
+inline constexpr WireRule AfterLoss = flag("changes.after_loss");
 inline constexpr WireRule Count{"items", WireType::Uint32, 0, MaxItems};
-inline constexpr std::array All{Era, Revision, Complete, Routes, GapEra, GapRevision, Count};
+inline constexpr std::array All{Era, Revision, Complete, Routes, GapEra, GapRevision, AfterLoss, Count};
 } // namespace changes
 
 namespace item {
@@ -138,7 +139,8 @@
 inline constexpr WireRule Removed = flag("item.removed");
 inline constexpr WireRule Lapsed = flag("item.lapsed");
 inline constexpr WireRule Listed = flag("item.listed");
-inline constexpr std::array All{Key, Compressed, Value, Era, Revision, Removed, Lapsed, Listed};
+inline constexpr WireRule Postponed = flag("item.postponed");
+inline constexpr std::array All{Key, Compressed, Value, Era, Revision, Removed, Lapsed, Listed, Postponed};
 } // namespace item
 
 } // namespace wire
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::uint32_t HeartbeatMagic = 0x4c424735; // "LBG5"
-constexpr std::uint32_t ChangesMagic = 0x4c424d33; // "LBM3"
+constexpr std::uint32_t ChangesMagic = 0x4c424d34; // "LBM4"
 std::uint32_t encodeAddress(const std::string &ip)
 {
     boost::system::error_code ec;
@@ -211,6 +211,7 @@
     saveField(ar, fields::Removed, item.removed ? 1 : 0);
     saveField(ar, fields::Lapsed, item.lapsed ? 1 : 0);
     saveField(ar, fields::Listed, item.listed ? 1 : 0);
+    saveField(ar, fields::Postponed, item.postponed ? 1 : 0);
 }
 
 void loadItem(InputArchive &ar, StoreItem &item)
@@ -224,6 +225,7 @@
     item.removed = loadField(ar, fields::Removed) == 1;
     item.lapsed = loadField(ar, fields::Lapsed) == 1;
     item.listed = loadField(ar, fields::Listed) == 1;
+    item.postponed = loadField(ar, fields::Postponed) == 1;
     if (compressed) {
         item.compressed = std::make_shared<const std::string>(std::move(value));
         value = uncompress(*item.compressed, wire::MaxItemBytes);
@@ -320,6 +322,7 @@
         saveText(ar, fields::Routes, changes.routes.str());
         saveField(ar, fields::GapEra, changes.gapEnd.era);
         saveField(ar, fields::GapRevision, changes.gapEnd.number);
+        saveField(ar, fields::AfterLoss, changes.afterLoss ? 1 : 0);
         saveField(ar, fields::Count, changes.items.size());
         for (const auto &item : changes.items) {
             saveItem(ar, item);
@@ -338,6 +341,7 @@
         changes.routes = loadText(ar, fields::Routes);
         changes.gapEnd.era = loadField(ar, fields::GapEra);
         changes.gapEnd.number = loadField(ar, fields::GapRevision);
+        changes.afterLoss = loadField(ar, fields::AfterLoss) == 1;
         const auto count = loadCount(ar, fields::Count);
         for (std::size_t n = 0; n < count; ++n) {
             loadItem(ar, changes.items.emplace_back());
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -129,10 +129,10 @@
 
 Message changesMessage()
 {
-    Message message{0x4c424d33, {}, [](const Bytes &bytes) { decodeChanges(bytes); }};
-    message.add(wire::changes::All, {2U, 17U, 1U, "r", 2U, 16U, 2U});
-    message.add(wire::item::All, {"servers/a", 0U, "x", 1U, 16U, 0U, 1U, 1U});
-    message.add(wire::item::All, {"servers/b", 0U, "", 2U, 17U, 1U, 0U, 0U});
+    Message message{0x4c424d34, {}, [](const Bytes &bytes) { decodeChanges(bytes); }};
+    message.add(wire::changes::All, {2U, 17U, 1U, "r", 2U, 16U, 1U, 2U});
+    message.add(wire::item::All, {"servers/a", 0U, "x", 1U, 16U, 0U, 1U, 1U, 1U});
+    message.add(wire::item::All, {"servers/b", 0U, "", 2U, 17U, 1U, 0U, 0U, 0U});
     return message;
 }
 
@@ -204,7 +204,8 @@
     MirrorChanges changes{{2, 17}, {}, true, "r", {2, 16}};
     changes.items.push_back({"servers/a", "x", {1, 16}});
     changes.items.push_back({"servers/b", "", {2, 17}, true});
-    changes.items[0].lapsed = changes.items[0].listed = true;
+    changes.afterLoss = true;
+    changes.items[0].lapsed = changes.items[0].listed = changes.items[0].postponed = true;
     const auto message = changesMessage();
     BOOST_TEST(encodeChanges(changes) == message.write(message.fields.size()), boost::test_tools::per_element());
 }
@@ -307,6 +308,22 @@
     BOOST_CHECK_THROW(decodeChanges({bytes.data(), bytes.size() - 1}), DecodeError);
 }
 
+// Guards against a departure that is known to the sender only.
+BOOST_AUTO_TEST_CASE(postponedItemsSurviveEncoding)
+{
+    MirrorChanges changes{{2, 17}, {{"servers/a", "x", {2, 16}, false}, {"servers/b", "y", {2, 17}, false}}};
+    changes.afterLoss = true;
+    changes.items[1].listed = true;
+    changes.items[1].postponed = true;
+    const auto decoded = decodeChanges(encodeChanges(changes));
+    BOOST_TEST(decoded.afterLoss);
+    BOOST_REQUIRE(decoded.items.size() == 2U);
+    BOOST_TEST(!decoded.items[0].postponed);
+    BOOST_TEST(decoded.items[1].listed);
+    BOOST_TEST(decoded.items[1].postponed);
+    BOOST_TEST(!decodeChanges(encodeChanges({})).afterLoss);
+}
+
 // Guards against compressing a large value again on each instance that passes it on.
 BOOST_AUTO_TEST_CASE(compressedValuesArePassedOn)
 {
