--- a/fuzz/fuzz_platformsettings.cpp
+++ b/fuzz/fuzz_platformsettings.cpp
@@ -32,7 +32,8 @@
 )";
 
 /// Values that no field may have, whatever its rule.
-constexpr std::array<std::string_view, 6> WrongValues{"-1", "1e300", "nan", "''", "2026-01-01", "[[[1]]]"};
+constexpr std::array<std::string_view, 7> WrongValues{
+    "-1", "1e300", "9223372036854775807", "nan", "''", "2026-01-01", "[[[1]]]"};
 
 /// Returns the text with another value in place of that of the field.
 std::string withValue(std::string_view path, std::string_view value)
--- a/tests/test_platformadapter.cpp
+++ b/tests/test_platformadapter.cpp
@@ -132,6 +132,7 @@
     addUnless(isNumber, 1);
     addUnless(false, std::numeric_limits<double>::quiet_NaN());
     addUnless(!isNumber, std::nextafter(rule.max, HUGE_VAL));
+    addUnless(!isNumber, std::numeric_limits<std::int64_t>::max());
     addUnless(!isNumber, std::nextafter(rule.min, -HUGE_VAL));
     addUnless(!isText || rule.min == 0, "");
     addUnless(rule.type != FieldType::Address, "10.1.0.35:0");
