gateway: drain the connection of a caller that has closed its sending side

A caller that had sent more later requests than are read early, and had then closed its sending side, was reset after the refusal of the next one and lost the end of an answer that had been written: 12,670,464 of 16,777,216 bytes arrived in the test. Such a connection was closed at once, on the assumption that a caller that sends no more has left nothing unread. It is now drained like any other; the end of what the caller has sent also ends the draining.

answersToHalfClosedConnectionsAreNotReset failed before.

--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -382,7 +382,7 @@
         close();
     } else if (!m_closeAfter) {
         waitForRequest();
-    } else if (!m_callerClosed && (m_unread || hasUnreadData(m_socket))) {
+    } else if (m_unread || hasUnreadData(m_socket)) {
         logEvent(LogLevel::Info, "connection.closed-unread", {{"request", m_requestId}});
         error_code ignored;
         m_socket.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -606,6 +606,23 @@
     BOOST_TEST(contains(answers, "Connection: close"));
 }
 
+// Guards against a reset that destroys an answer because its caller has closed its sending side behind unread bytes.
+BOOST_FIXTURE_TEST_CASE(answersToHalfClosedConnectionsAreNotReset, LargeAnswerFixture)
+{
+    firstDelay = 300ms;
+    RawCaller caller(context);
+    caller.sendRequest("r1");
+    caller.runFor(50ms);
+    for (int n = 0; n < 8; ++n) {
+        caller.sendRequest("early" + std::to_string(n), std::string(8000, 'x'));
+    }
+    caller.closeSendingSide();
+    caller.runFor(600ms);
+    const auto answers = caller.receive(2);
+    BOOST_TEST(answers.size() > LargeAnswerBytes);
+    BOOST_TEST(contains(answers, "X-Id: early0"));
+}
+
 // Guards against taking a request that outlasts the process, which would be broken off.
 BOOST_FIXTURE_TEST_CASE(requestsThatMayOutlastAStopAreRefused, SlowFixture)
 {
