gateway: requests that wait for the first routes get an answer at the end of a stop

A request that had been read and waited for the first routes, for up to 0.8 s, was not refused when a stop ended and could be cut by the exit. With a grace period of 6 s it cannot wait so late; with one below 1.6 s, or a signal that is handled late, it can. It is now refused as not run with those that are still being read.

requestsThatWaitForRoutesAreRefusedWhenTheInstanceEnds failed before: it was still waiting.

--- a/src/gateway/callerserver.cpp
+++ b/src/gateway/callerserver.cpp
@@ -62,9 +62,9 @@
     m_sessions->refuseFrom = std::min(time, m_sessions->refuseFrom.value_or(time));
 }
 
-void CallerServer::refuseUnread()
+void CallerServer::refuseUnforwarded()
 {
-    forEachSession(*m_sessions, [](CallerSession &it) { it.refuseUnread(); });
+    forEachSession(*m_sessions, [](CallerSession &it) { it.refuseUnforwarded(); });
 }
 
 void CallerServer::finishAccepting()
--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -32,8 +32,8 @@
     /// Requests that are read from this time on are refused as not run. Those that have been read before are still
     /// answered.
     void refuseFrom(TimePoint time);
-    /// Refuses the requests that have not been read completely as not run.
-    void refuseUnread();
+    /// Refuses the requests that have not been passed to the forwarder as not run.
+    void refuseUnforwarded();
     /// Accepts the connections that are waiting, then no others. Requests that have arrived on idle connections are
     /// read and refused.
     void finishAccepting();
--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -60,10 +60,12 @@
     }
 }
 
-void CallerSession::refuseUnread()
+void CallerSession::refuseUnforwarded()
 {
     if (m_phase == Phase::Reading && m_parser) {
         refuse(http::status::service_unavailable, "leaving", LeavingRetryAfter);
+    } else if (m_phase == Phase::Waiting && !m_forwarding) {
+        refuseRead("leaving");
     }
 }
 
@@ -313,11 +315,11 @@
     m_requestId.assign(id.data(), id.size());
     if (m_callerClosed) {
         // Nobody may be left to read the answer, so nothing is sent to an upstream any more.
-        refuseUnforwarded("caller has closed its connection");
+        refuseRead("caller has closed its connection");
         return;
     }
     if (m_sessions->isRefusing(m_arrived)) {
-        refuseUnforwarded("leaving");
+        refuseRead("leaving");
         return;
     }
     m_request = makeForwardedRequest(std::move(message), m_sessions->headers, m_arrived);
@@ -330,7 +332,7 @@
 void CallerSession::forward()
 {
     if (m_callerClosed) {
-        refuseUnforwarded("caller has closed its connection");
+        refuseRead("caller has closed its connection");
         return;
     }
     const auto now = Clock::now();
@@ -412,7 +414,7 @@
 }
 
 /// Refuses a request that has been read and not been forwarded.
-void CallerSession::refuseUnforwarded(std::string_view reason)
+void CallerSession::refuseRead(std::string_view reason)
 {
     logEvent(LogLevel::Info, "request.refused", {{"request", m_requestId}, {"status", 503}, {"reason", reason}});
     write(
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -43,8 +43,8 @@
 
     void waitForRequest();
     void closeIfIdle();
-    /// Refuses the request that is being read as not run, because the instance stops.
-    void refuseUnread();
+    /// Refuses the request that is being read, or waits for the first routes, as not run, because the instance stops.
+    void refuseUnforwarded();
     /// Closes the connection. A request that is being forwarded is abandoned.
     void abort();
     /// Logs the request if it has been read and its answer has not been written. Must be called before the process
@@ -80,7 +80,7 @@
     void write(CallerAnswer answer, bool closeAfter);
     void onWritten(error_code ec);
     void drain();
-    void refuseUnforwarded(std::string_view reason);
+    void refuseRead(std::string_view reason);
     void refuse(http::status status, std::string_view detail, Milliseconds retryAfter = Milliseconds(0));
     void refuseBadInput(error_code ec);
     void close();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -375,7 +375,7 @@
             endedAt = now;
             logStopPhase("ending", now);
             callers.refuseFrom(now);
-            callers.refuseUnread();
+            callers.refuseUnforwarded();
             forwarder.endAll(now);
         } else if (now >= schedule->exitAt && now >= *endedAt + MinAnswerTime) {
             shutDown();
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -623,6 +623,20 @@
     BOOST_TEST(contains(answers, "X-Id: early0"));
 }
 
+// Guards against a request without an answer because the instance ends while it waits for the first routes.
+BOOST_FIXTURE_TEST_CASE(requestsThatWaitForRoutesAreRefusedWhenTheInstanceEnds, Fixture)
+{
+    RawCaller caller(context);
+    caller.sendRequest("r1");
+    caller.runFor(100ms);
+    callers.refuseUnforwarded();
+    caller.runFor(10ms);
+    BOOST_TEST(callers.activeRequests() == 0U);
+    const auto answer = caller.receive(1);
+    BOOST_TEST(contains(answer, "HTTP/1.1 503"));
+    BOOST_TEST(contains(answer, "leaving"));
+}
+
 // Guards against taking a request that outlasts the process, which would be broken off.
 BOOST_FIXTURE_TEST_CASE(requestsThatMayOutlastAStopAreRefused, SlowFixture)
 {
