net: small buffers for idle connections of HttpServer

Reading the first bytes of a request took 4 KiB for each idle connection, and early bytes left up to 16 KiB; an idle connection now keeps 1 KiB. test_httpserver passes as before.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -11,7 +11,8 @@
 
 /// Time to send a response to a client that does not read.
 constexpr Milliseconds WriteTimeout{20'000};
-constexpr std::size_t FirstReadBytes = 4 << 10;
+/// Buffer of a connection that waits for a request.
+constexpr std::size_t FirstReadBytes = 1 << 10;
 /// Bytes that are discarded after the last answer, at most. Clients that send more are reset.
 constexpr std::size_t MaxDrainedBytes = 4 << 20;
 
@@ -119,6 +120,9 @@
     awaitable<error_code> readFirstBytes()
     {
         discardEmptyLines(m_buf);
+        if (m_buf.size() == 0 && m_buf.capacity() > FirstReadBytes) {
+            m_buf.shrink_to_fit();
+        }
         while (m_buf.size() == 0) {
             m_idle = true;
             auto [ec, n] = co_await m_stream.async_read_some(m_buf.prepare(FirstReadBytes), NoThrowAwaitable);
