gateway: pass on the answer of a failed upstream at the end of a stop

When a stop ended while an idempotent request was being retried, the caller got a 504 of our own although an upstream had answered the first attempt with a failure. That answer is now passed on, as it is at the request's deadline.

failuresOfUpstreamsArePassedOnWhenTheInstanceEnds failed before.

--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -24,6 +24,7 @@
 /// route's requests takes no longer than the time that is left.
 constexpr double StopQuantile = 0.95;
 constexpr std::string_view Leaving = "leaving";
+constexpr std::string_view UpstreamFailed = "upstream failed";
 
 } // namespace
 
@@ -199,7 +200,7 @@
         return;
     }
     if (m_failureAnswer) {
-        answer(std::move(*m_failureAnswer), Outcome::MayHaveRun, "upstream failed", now);
+        answer(std::move(*m_failureAnswer), Outcome::MayHaveRun, UpstreamFailed, now);
         return;
     }
     giveUp(http::status::gateway_timeout, "no answer of the upstream in time", now);
@@ -289,7 +290,13 @@
 
 void Forwarding::end(TimePoint now)
 {
-    m_runs == 0 ? refuse(Leaving, now) : giveUp(http::status::gateway_timeout, Leaving, now);
+    if (m_runs == 0) {
+        refuse(Leaving, now);
+    } else if (m_failureAnswer) {
+        answer(std::move(*m_failureAnswer), Outcome::MayHaveRun, UpstreamFailed, now);
+    } else {
+        giveUp(http::status::gateway_timeout, Leaving, now);
+    }
 }
 
 } // namespace laburnumspar::detail
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -637,6 +637,26 @@
     BOOST_TEST(contains(answer, "leaving"));
 }
 
+// Guards against replacing the answer of an upstream that has failed when the instance ends during a retry.
+BOOST_FIXTURE_TEST_CASE(failuresOfUpstreamsArePassedOnWhenTheInstanceEnds, Fixture)
+{
+    serviceRegistry.applyRoutes(makeTable(true, 2));
+    serviceRegistry.divideRetryReserve(1);
+    addUpstream("i-2", secondAddress);
+    secondAnswer = [&](const HttpRequest &request) {
+        addUpstream("i-1", firstAddress);
+        return signedAnswer(request, http::status::internal_server_error);
+    };
+    firstDelay = 2s;
+    firstAnswer = [](const HttpRequest &request) { return signedAnswer(request, http::status::ok); };
+    RawCaller caller(context);
+    caller.sendRequest("r1");
+    caller.runFor(300ms);
+    BOOST_REQUIRE(firstCancellation);
+    forwarder.endAll(Clock::now());
+    BOOST_TEST(contains(caller.receive(1), "HTTP/1.1 500"));
+}
+
 // Guards against taking a request that outlasts the process, which would be broken off.
 BOOST_FIXTURE_TEST_CASE(requestsThatMayOutlastAStopAreRefused, SlowFixture)
 {
