--- a/tests/callerserverfixture.h
+++ b/tests/callerserverfixture.h
@@ -130,6 +130,23 @@
     std::optional<http::response<http::string_body>> answer;
 };
 
+/// A budget for one and a half large answers.
+struct LargeAnswerFixture : CallerServerFixture {
+    LargeAnswerFixture()
+        : CallerServerFixture(24 << 20)
+    {
+        serviceRegistry.applyRoutes(makeTable(false));
+        addUpstream("i-1", firstAddress);
+        firstAnswer = [](const HttpRequest &request) {
+            auto response = signedAnswer(request, http::status::ok);
+            response.body() = std::string(LargeAnswerBytes, 'a');
+            return response;
+        };
+    }
+
+    static constexpr std::size_t LargeAnswerBytes = 16 << 20; ///< more than the buffers of a connection take
+};
+
 /// Sends a request that is not idempotent by its method, with a deadline of 3 s.
 inline void postRequest(RawCaller &caller, const std::string &id, const std::string &body = "x")
 {
--- a/tests/test_bodymemory.cpp
+++ b/tests/test_bodymemory.cpp
@@ -21,23 +21,6 @@
     static constexpr std::size_t LargeBodyBytes = 400 << 10;
 };
 
-/// A budget for one and a half large answers.
-struct LargeAnswerFixture : CallerServerFixture {
-    LargeAnswerFixture()
-        : CallerServerFixture(24 << 20)
-    {
-        serviceRegistry.applyRoutes(makeTable(false));
-        addUpstream("i-1", firstAddress);
-        firstAnswer = [](const HttpRequest &request) {
-            auto response = signedAnswer(request, http::status::ok);
-            response.body() = std::string(LargeAnswerBytes, 'a');
-            return response;
-        };
-    }
-
-    static constexpr std::size_t LargeAnswerBytes = 16 << 20; ///< more than the buffers of a connection take
-};
-
 /// A body in chunks of 1,000 bytes.
 std::string chunked(std::size_t chunks)
 {
--- a/tests/test_callersessions.cpp
+++ b/tests/test_callersessions.cpp
@@ -110,6 +110,57 @@
     BOOST_TEST(contains(answers, "Connection: close"));
 }
 
+// Guards against a reset that destroys an answer because its caller has closed its sending side behind unread bytes.
+BOOST_FIXTURE_TEST_CASE(answersToHalfClosedConnectionsAreNotReset, LargeAnswerFixture)
+{
+    firstDelay = 300ms;
+    RawCaller caller(context, callerAddress);
+    postRequest(caller, "r1");
+    caller.runFor(50ms);
+    for (int n = 0; n < 8; ++n) {
+        postRequest(caller, "early" + std::to_string(n), std::string(8000, 'x'));
+    }
+    caller.closeSendingSide();
+    caller.runFor(600ms);
+    const auto answers = caller.receiveAnswers(2);
+    BOOST_TEST(answers.size() > LargeAnswerBytes);
+    BOOST_TEST(contains(answers, "X-Id: early0"));
+}
+
+// Guards against a request without an answer because the instance ends while it waits for the first routes.
+BOOST_FIXTURE_TEST_CASE(requestsThatWaitForRoutesAreRefusedWhenTheInstanceEnds, CallerServerFixture)
+{
+    RawCaller caller(context, callerAddress);
+    postRequest(caller, "r1");
+    caller.runFor(100ms);
+    callers.refuseUnforwarded();
+    caller.runFor(10ms);
+    BOOST_TEST(callers.activeRequests() == 0U);
+    const auto answer = caller.receiveAnswers(1);
+    BOOST_TEST(contains(answer, "HTTP/1.1 503"));
+    BOOST_TEST(contains(answer, "leaving"));
+}
+
+// Guards against replacing the answer of an upstream that has failed when the instance ends during a retry.
+BOOST_FIXTURE_TEST_CASE(failuresOfUpstreamsArePassedOnWhenTheInstanceEnds, CallerServerFixture)
+{
+    serviceRegistry.applyRoutes(makeTable(true, 2));
+    serviceRegistry.divideRetryReserve(1);
+    addUpstream("i-2", secondAddress);
+    secondAnswer = [&](const HttpRequest &request) {
+        addUpstream("i-1", firstAddress);
+        return signedAnswer(request, http::status::internal_server_error);
+    };
+    firstDelay = 2s;
+    firstAnswer = [](const HttpRequest &request) { return signedAnswer(request, http::status::ok); };
+    RawCaller caller(context, callerAddress);
+    postRequest(caller, "r1");
+    caller.runFor(300ms);
+    BOOST_REQUIRE(firstCancellation);
+    forwarder.endAll(Clock::now());
+    BOOST_TEST(contains(caller.receiveAnswers(1), "HTTP/1.1 500"));
+}
+
 // Guards against taking a request that outlasts the process, which would be broken off.
 BOOST_FIXTURE_TEST_CASE(requestsThatMayOutlastAStopAreRefused, SlowFixture)
 {
