store copy: the more recent knowledge about an upstream before a loss counts

Marks of departures spread to all instances, so one that had missed the return of an upstream before the loss would have stopped all others from using it until its entry outlived its lease. A mark now travels with the revision before the loss at which the state was known, and the more recent one counts; entries that were only listed, or are retained, claim nothing.

--- a/include/laburnumspar/storemirror.h
+++ b/include/laburnumspar/storemirror.h
@@ -24,6 +24,7 @@
     bool lapsed = false; ///< removed from the store, but retained because the upstream may only have to register again
     bool listed = false; ///< from a list: after a loss of the store, it may show an earlier state than its era suggests
     bool postponed = false; ///< listed after a loss although the upstream is known to have left; not to be used yet
+    Revision knownBefore{}; ///< if listed: revision before the loss at which the upstream's state was known, or empty
     std::shared_ptr<const RouteTable> routes{}; ///< decoded value, if these are routes that have been decoded
     std::shared_ptr<const std::string> compressed{}; ///< compressed value, if it has been compressed
 };
@@ -82,8 +83,8 @@
     const StoreItem *find(const std::string &key) const;
     /// Marks an item as removed if it is lapsed, without a new revision.
     void removeLapsed(const std::string &key);
-    /// Marks an item as postponed, without a new revision.
-    void postpone(const std::string &key);
+    /// Records what was known before the loss about the upstream of a listed item, without a new revision.
+    void recordKnowledge(const std::string &key, bool postponed, Revision knownBefore);
     /// Marks an item as written in its era, without a new revision, so that it is neither listed nor postponed.
     void confirm(const std::string &key);
     /// Items and removals with a revision above this one.
@@ -99,7 +100,7 @@
     bool hasChangesAfter(Revision revision) const;
 
 private:
-    void mark(const std::string &key, bool listed, bool postponed);
+    void mark(const std::string &key, bool listed, bool postponed, Revision knownBefore);
 
     std::map<std::string, StoreItem> m_items; ///< removals are kept, so that an older write cannot restore the item
     struct Gap {
--- a/include/laburnumspar/upstreamregistry.h
+++ b/include/laburnumspar/upstreamregistry.h
@@ -31,8 +31,7 @@
 ///
 /// While the store is unreachable, upstreams cannot renew the leases of their entries although they are alive. An entry
 /// that disappears shortly after such an outage, or because the store has lost it, is retained until the upstream has
-/// had time to register again. After a loss, this holds only for entries that have been written again since, unless the
-/// store was not available for long enough.
+/// had time to register again.
 class UpstreamRegistry
 {
 public:
@@ -41,8 +40,6 @@
         TimePoint readAt; ///< when the entry was read
         bool lapsed = false; ///< its lease expired during an outage; removed at `retainUntil`
         TimePoint retainUntil;
-        std::optional<TimePoint> unconfirmedSince{}; ///< when a loss of the store was noticed, until the next write
-        bool unrenewed = false; ///< not written again although the store was available after a loss; not retained
     };
 
     /// Time after an outage of the store within which upstreams that are alive register again.
@@ -54,9 +51,8 @@
     /// `leaseDuration`: time without a heartbeat after which the store removes an entry.
     explicit UpstreamRegistry(Milliseconds leaseDuration);
 
-    /// Adds or updates an entry. True if it is new, was lapsed, or differs in more than its heartbeat. `confirmed`: it
-    /// was written since the last loss of the store, or there was none.
-    bool put(RegisteredUpstream entry, TimePoint now, bool confirmed = true);
+    /// Adds or updates an entry. True if it is new, was lapsed, or differs in more than its heartbeat.
+    bool put(RegisteredUpstream entry, TimePoint now);
     /// Removes an entry, or marks it as lapsed after an outage of the store. True if it was removed; false if it is
     /// unknown or retained.
     bool remove(const std::string &id, TimePoint now);
@@ -83,7 +79,6 @@
     const RegisteredUpstream *find(const std::string &id) const;
 
 private:
-    void recordReturn(TimePoint now);
     bool isOutageRecent(TimePoint now) const;
 
     Milliseconds m_leaseDuration;
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -274,7 +274,9 @@
                BoolField{removed},
                BoolField{lapsed},
                BoolField{listed},
-               BoolField{postponed});
+               BoolField{postponed},
+               item.knownBefore.era,
+               item.knownBefore.number);
         }
     });
 }
@@ -305,6 +307,7 @@
             BoolField listed{item.listed};
             BoolField postponed{item.postponed};
             ar(key, compressed, value, item.revision.era, item.revision.number, removed, lapsed, listed, postponed);
+            ar(item.knownBefore.era, item.knownBefore.number);
             if (isCompressed) {
                 item.compressed = std::make_shared<const std::string>(std::move(item.value));
                 item.value = uncompress(*item.compressed, MaxItemBytes);
--- a/src/gateway/serviceregistry.cpp
+++ b/src/gateway/serviceregistry.cpp
@@ -53,11 +53,11 @@
     return true;
 }
 
-bool ServiceRegistry::putUpstream(const RegisteredUpstream &entry, TimePoint now, bool confirmed)
+bool ServiceRegistry::putUpstream(const RegisteredUpstream &entry, TimePoint now)
 {
     const auto *known = m_upstreams.find(entry.id);
     const auto serviceBefore = known != nullptr ? known->service : entry.service;
-    if (!m_upstreams.put(entry, now, confirmed)) {
+    if (!m_upstreams.put(entry, now)) {
         return false;
     }
     if (serviceBefore != entry.service) {
--- a/src/gateway/serviceregistry.h
+++ b/src/gateway/serviceregistry.h
@@ -39,8 +39,7 @@
         return m_upstreams;
     }
     /// Adds or updates an upstream. Returns true if the entry is new or has changed in more than its heartbeat.
-    /// `confirmed`: as for UpstreamRegistry::put().
-    bool putUpstream(const RegisteredUpstream &entry, TimePoint now, bool confirmed = true);
+    bool putUpstream(const RegisteredUpstream &entry, TimePoint now);
     /// Removes an upstream without retaining it.
     void withdrawUpstream(const std::string &id);
     /// Removes an upstream. Returns false if it is unknown, or retained because its lease lapsed in an outage of the
--- a/src/gateway/storecopy.cpp
+++ b/src/gateway/storecopy.cpp
@@ -56,6 +56,7 @@
     m_era = era;
     m_position.reset();
     m_lostAt.reset();
+    m_lostRevision = m_mirror.newestRevision();
     if (!m_mirror.empty()) {
         m_lostAt = now;
         m_serviceRegistry.upstreams().recordLoss(now);
@@ -245,7 +246,8 @@
     }
     const bool fromPeer = source == ItemSource::Peer;
     const bool afterLoss = known != nullptr && known->revision.era < item.revision.era;
-    const bool hadLeft = known != nullptr && hasLeft(*known);
+    // One of which an earlier process is listed is postponed, but in use.
+    const bool hadLeft = known != nullptr && (known->removed || (known->postponed && !isUsed(item.key)));
     if (item.removed || (item.lapsed && hadLeft)) {
         // The removal of an unknown upstream is kept, because other instances may know it.
         if (known != nullptr || fromPeer || isUpstreamKey(item.key)) {
@@ -261,15 +263,18 @@
     // An item that has changed since a known revision of the same era was written in it.
     item.listed = item.listed && (known == nullptr || afterLoss);
     const bool outdated = decoded && isOlderThanKnown(*decoded, afterLoss);
-    if (isToBePostponed(item, afterLoss, outdated, now)) {
-        if (item.postponed) {
+    const bool told = item.postponed;
+    if (item.listed && afterLoss && isUpstreamKey(item.key)) {
+        joinKnowledge(item, *known, outdated || hadLeft, outdated);
+    }
+    item.postponed = item.postponed && item.listed && !item.lapsed && !isConfirmationDue(now);
+    if (item.postponed) {
+        if (told) {
             withdraw(item);
         }
-        item.postponed = true;
         m_mirror.apply(std::move(item), false);
         return;
     }
-    item.postponed = false;
     if (!decoded) {
         // An invalid entry names no usable upstream, so the one that it named before is removed.
         m_serviceRegistry.removeUpstream(m_adapter.upstreamIdFromKey(item.key), now);
@@ -318,50 +323,73 @@
     return !m_lostAt || now >= *m_lostAt + lease + UpstreamRegistry::ReregistrationTime;
 }
 
-/// Whether the known upstream has left. One of which an earlier process is listed is postponed, but in use.
-bool StoreCopy::hasLeft(const StoreItem &known) const
-{
-    return known.removed || (known.postponed && !isUsed(known.key));
-}
-
-/// Whether a new item shows an upstream that is known to have left, here or by the instance that has sent it.
-bool StoreCopy::isToBePostponed(const StoreItem &item, bool afterLoss, bool outdated, TimePoint now) const
+/// Joins what the sender of a listed item knew about its upstream before the loss, if there is any, with what was known
+/// here. The more recent knowledge counts. `left`: the upstream is known to have left here. `certain`: the same process
+/// was leaving, or there is a newer one, which no later change can revoke.
+void StoreCopy::joinKnowledge(StoreItem &item, const StoreItem &known, bool left, bool certain) const
 {
-    if (!item.listed || item.lapsed || !isUpstreamKey(item.key) || isConfirmationDue(now)) {
-        return false;
+    // An entry that was only listed, or is retained, does not show that the upstream was serving.
+    const bool uncertain = !certain && (known.listed || known.lapsed);
+    const auto knownBefore = !uncertain ? std::max(m_lostRevision, known.revision)
+        : known.listed                  ? known.knownBefore
+                                        : Revision();
+    if (certain || knownBefore == item.knownBefore) {
+        item.postponed = item.postponed || left;
+    } else if (knownBefore > item.knownBefore) {
+        item.postponed = left;
     }
-    const auto *known = m_mirror.find(item.key);
-    return item.postponed || (afterLoss && (hasLeft(*known) || outdated));
+    item.knownBefore = std::max(item.knownBefore, knownBefore);
 }
 
 /// Joins what another instance knows about an upstream that is known here at the same revision or a newer one. A write
-/// since the loss goes before the departure of the upstream before it, and both before an entry that is only listed.
+/// since the loss goes before what was known before the loss, and that before an entry that is only listed.
 void StoreCopy::mergeKnown(const StoreItem &known, const StoreItem &item, TimePoint now)
 {
     if (!known.listed || known.removed || known.lapsed || item.lapsed || !isUpstreamKey(item.key)) {
         return;
     }
-    if (known.revision == item.revision && !item.removed && !item.listed) {
-        m_mirror.confirm(item.key);
-        const auto decoded = decode(item);
-        if (decoded && !isOlderThanKnown(*decoded, true)) {
-            use(*decoded, known, now);
+    if (known.revision == item.revision) {
+        if (!item.removed) {
+            mergeListed(known, item, now);
         }
-    } else if (showsDeparture(known, item)) {
+    } else if (item.revision > known.knownBefore && showsDeparture(known, item)) {
         m_lostAt = m_lostAt.value_or(now);
         if (!isConfirmationDue(now)) {
-            m_mirror.postpone(item.key);
+            m_mirror.recordKnowledge(item.key, true, item.revision);
             withdraw(known);
         }
     }
 }
 
+void StoreCopy::mergeListed(const StoreItem &known, const StoreItem &item, TimePoint now)
+{
+    const bool newer = item.knownBefore > known.knownBefore;
+    const bool left
+        = newer ? item.postponed : known.postponed || (item.knownBefore == known.knownBefore && item.postponed);
+    if (item.listed && left && !isConfirmationDue(now)) {
+        m_mirror.recordKnowledge(item.key, true, std::max(item.knownBefore, known.knownBefore));
+        if (item.postponed) {
+            withdraw(known);
+        }
+        return;
+    }
+    const auto decoded = decode(item);
+    if ((item.listed && !newer) || !decoded || isOlderThanKnown(*decoded, true)) {
+        return;
+    }
+    if (item.listed) {
+        m_mirror.recordKnowledge(item.key, false, item.knownBefore);
+    } else {
+        m_mirror.confirm(item.key);
+    }
+    use(*decoded, known, now);
+}
+
 /// Whether an item of another instance shows that the upstream of a listed one had left before the store lost changes.
 bool StoreCopy::showsDeparture(const StoreItem &listed, const StoreItem &item) const
 {
-    const bool earlier = item.revision.era < listed.revision.era;
-    if (!earlier || item.removed || item.postponed) {
-        return earlier || (item.revision == listed.revision && item.postponed);
+    if (item.revision.era >= listed.revision.era || item.removed || item.postponed) {
+        return item.revision.era < listed.revision.era;
     }
     const auto before = decode(item);
     const auto after = decode(listed);
@@ -463,7 +491,7 @@
 
 void StoreCopy::useUpstream(const RegisteredUpstream &entry, const StoreItem &item, TimePoint now)
 {
-    const bool changed = m_serviceRegistry.putUpstream(entry, now, !item.listed || !m_lostAt);
+    const bool changed = m_serviceRegistry.putUpstream(entry, now);
     if (changed && m_logItems) {
         logEvent(LogLevel::Info,
                  "upstream.changed",
@@ -530,7 +558,7 @@
         if (const auto *item = m_mirror.find(key); item != nullptr && !item->removed) {
             // The store lists an earlier process of the upstream, which is used only if it outlives its lease.
             m_lostAt = m_lostAt.value_or(now);
-            m_mirror.postpone(key);
+            m_mirror.recordKnowledge(key, true, item->knownBefore);
         }
     }
 }
--- a/src/gateway/storecopy.h
+++ b/src/gateway/storecopy.h
@@ -94,8 +94,8 @@
     void use(const DecodedStoreItem &decoded, const StoreItem &item, TimePoint now);
     void useUpstream(const RegisteredUpstream &entry, const StoreItem &item, TimePoint now);
     void mergeKnown(const StoreItem &known, const StoreItem &item, TimePoint now);
-    bool isToBePostponed(const StoreItem &item, bool afterLoss, bool outdated, TimePoint now) const;
-    bool hasLeft(const StoreItem &known) const;
+    void mergeListed(const StoreItem &known, const StoreItem &item, TimePoint now);
+    void joinKnowledge(StoreItem &item, const StoreItem &known, bool left, bool certain) const;
     bool showsDeparture(const StoreItem &listed, const StoreItem &item) const;
     void withdraw(const StoreItem &item);
     void useRoutes(const std::shared_ptr<const RouteTable> &table, const StoreItem &item);
@@ -113,8 +113,9 @@
     StoreMirror m_mirror;
     std::uint64_t m_era = 0;
     std::optional<Revision> m_position;
-    std::optional<TimePoint>
-        m_lostAt; ///< when a loss of the store before m_era was noticed, here or first through others
+    /// When a loss of the store before m_era was noticed, here or first through others.
+    std::optional<TimePoint> m_lostAt;
+    Revision m_lostRevision; ///< all changes up to this one were known when m_era began
     std::optional<StoreItem> m_routesItem; ///< item whose routes are in use
     std::uint64_t m_routesCount = 0; ///< of changes of m_routesItem
     bool m_logItems = true; ///< log each changed upstream, and not only the update as a whole
--- a/src/storemirror.cpp
+++ b/src/storemirror.cpp
@@ -77,27 +77,31 @@
     item.value.clear();
 }
 
-void StoreMirror::postpone(const std::string &key)
+void StoreMirror::recordKnowledge(const std::string &key, bool postponed, Revision knownBefore)
 {
-    mark(key, true, true);
+    mark(key, true, postponed, knownBefore);
 }
 
 void StoreMirror::confirm(const std::string &key)
 {
-    mark(key, false, false);
+    mark(key, false, false, {});
 }
 
-void StoreMirror::mark(const std::string &key, bool listed, bool postponed)
+void StoreMirror::mark(const std::string &key, bool listed, bool postponed, Revision knownBefore)
 {
     const auto it = m_items.find(key);
-    if (it == m_items.end() || (it->second.listed == listed && it->second.postponed == postponed)) {
+    if (it == m_items.end()) {
         return;
     }
-    ++m_changeCount;
     auto &item = it->second;
+    if (item.listed == listed && item.postponed == postponed && item.knownBefore == knownBefore) {
+        return;
+    }
+    ++m_changeCount;
     m_digest ^= itemDigest(item);
     item.listed = listed;
     item.postponed = postponed;
+    item.knownBefore = knownBefore;
     m_digest ^= itemDigest(item);
 }
 
--- a/src/upstreamregistry.cpp
+++ b/src/upstreamregistry.cpp
@@ -33,16 +33,11 @@
 {
 }
 
-bool UpstreamRegistry::put(RegisteredUpstream entry, TimePoint now, bool confirmed)
+bool UpstreamRegistry::put(RegisteredUpstream entry, TimePoint now)
 {
     auto &record = m_records[entry.id];
     const bool changed = record.lapsed || !record.entry.equalsIgnoringHeartbeat(entry);
-    record = {std::move(entry),
-              now,
-              false,
-              {},
-              confirmed ? std::nullopt : std::optional(record.unconfirmedSince.value_or(now)),
-              record.unrenewed && !confirmed};
+    record = {std::move(entry), now, false, {}};
     return changed;
 }
 
@@ -58,7 +53,7 @@
         return false;
     }
     // An upstream that was draining has stopped on purpose, so its entry is not retained.
-    if (it->second.entry.phase != UpstreamPhase::Draining && !it->second.unrenewed && isOutageRecent(now)) {
+    if (it->second.entry.phase != UpstreamPhase::Draining && isOutageRecent(now)) {
         if (!it->second.lapsed) {
             it->second.lapsed = true;
             it->second.retainUntil = *m_outageEnd + ReregistrationTime;
@@ -75,7 +70,7 @@
     if (it == m_records.end() || it->second.lapsed) {
         return;
     }
-    if (it->second.entry.phase == UpstreamPhase::Draining || it->second.unrenewed) {
+    if (it->second.entry.phase == UpstreamPhase::Draining) {
         m_records.erase(it);
         return;
     }
@@ -104,23 +99,10 @@
     if (now - since < m_leaseDuration * 2 / 3) {
         return;
     }
-    for (auto &[id, record] : m_records) {
-        if (record.unconfirmedSince && since - *record.unconfirmedSince >= ReregistrationTime) {
-            record.unrenewed = true;
-        }
-    }
-    recordReturn(now);
+    recordLoss(now);
 }
 
 void UpstreamRegistry::recordLoss(TimePoint now)
-{
-    for (auto &[id, record] : m_records) {
-        record.unconfirmedSince = now;
-    }
-    recordReturn(now);
-}
-
-void UpstreamRegistry::recordReturn(TimePoint now)
 {
     m_outageEnd = now;
     for (auto &[id, record] : m_records) {
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -112,12 +112,14 @@
     changes.afterLoss = true;
     changes.items[1].listed = true;
     changes.items[1].postponed = true;
+    changes.items[1].knownBefore = {1, 9};
     const auto decoded = decodeChanges(encodeChanges(changes));
     BOOST_TEST(decoded.afterLoss);
     BOOST_REQUIRE(decoded.items.size() == 2U);
     BOOST_TEST(!decoded.items[0].postponed);
     BOOST_TEST(decoded.items[1].listed);
     BOOST_TEST(decoded.items[1].postponed);
+    BOOST_TEST((decoded.items[1].knownBefore == Revision(1, 9)));
     BOOST_TEST(!decodeChanges(encodeChanges({})).afterLoss);
 }
 
