--- a/src/gateway/groupfields.h
+++ b/src/gateway/groupfields.h
@@ -140,7 +140,10 @@
 inline constexpr WireRule Lapsed = flag("item.lapsed");
 inline constexpr WireRule Listed = flag("item.listed");
 inline constexpr WireRule Postponed = flag("item.postponed");
-inline constexpr std::array All{Key, Compressed, Value, Era, Revision, Removed, Lapsed, Listed, Postponed};
+inline constexpr WireRule KnownBeforeEra{"item.known_before_era", WireType::Uint64, 0, MaxUint64};
+inline constexpr WireRule KnownBeforeRevision{"item.known_before_revision", WireType::Uint64, 0, MaxRevision};
+inline constexpr std::array All{
+    Key, Compressed, Value, Era, Revision, Removed, Lapsed, Listed, Postponed, KnownBeforeEra, KnownBeforeRevision};
 } // namespace item
 
 } // namespace wire
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -212,6 +212,8 @@
     saveField(ar, fields::Lapsed, item.lapsed ? 1 : 0);
     saveField(ar, fields::Listed, item.listed ? 1 : 0);
     saveField(ar, fields::Postponed, item.postponed ? 1 : 0);
+    saveField(ar, fields::KnownBeforeEra, item.knownBefore.era);
+    saveField(ar, fields::KnownBeforeRevision, item.knownBefore.number);
 }
 
 void loadItem(InputArchive &ar, StoreItem &item)
@@ -226,6 +228,8 @@
     item.lapsed = loadField(ar, fields::Lapsed) == 1;
     item.listed = loadField(ar, fields::Listed) == 1;
     item.postponed = loadField(ar, fields::Postponed) == 1;
+    item.knownBefore.era = loadField(ar, fields::KnownBeforeEra);
+    item.knownBefore.number = loadField(ar, fields::KnownBeforeRevision);
     if (compressed) {
         item.compressed = std::make_shared<const std::string>(std::move(value));
         value = uncompress(*item.compressed, wire::MaxItemBytes);
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -131,8 +131,8 @@
 {
     Message message{0x4c424d34, {}, [](const Bytes &bytes) { decodeChanges(bytes); }};
     message.add(wire::changes::All, {2U, 17U, 1U, "r", 2U, 16U, 1U, 2U});
-    message.add(wire::item::All, {"servers/a", 0U, "x", 1U, 16U, 0U, 1U, 1U, 1U});
-    message.add(wire::item::All, {"servers/b", 0U, "", 2U, 17U, 1U, 0U, 0U, 0U});
+    message.add(wire::item::All, {"servers/a", 0U, "x", 1U, 16U, 0U, 1U, 1U, 1U, 1U, 12U});
+    message.add(wire::item::All, {"servers/b", 0U, "", 2U, 17U, 1U, 0U, 0U, 0U, 0U, 0U});
     return message;
 }
 
@@ -206,6 +206,7 @@
     changes.items.push_back({"servers/b", "", {2, 17}, true});
     changes.afterLoss = true;
     changes.items[0].lapsed = changes.items[0].listed = changes.items[0].postponed = true;
+    changes.items[0].knownBefore = {1, 12};
     const auto message = changesMessage();
     BOOST_TEST(encodeChanges(changes) == message.write(message.fields.size()), boost::test_tools::per_element());
 }
@@ -315,12 +316,14 @@
     changes.afterLoss = true;
     changes.items[1].listed = true;
     changes.items[1].postponed = true;
+    changes.items[1].knownBefore = {1, 9};
     const auto decoded = decodeChanges(encodeChanges(changes));
     BOOST_TEST(decoded.afterLoss);
     BOOST_REQUIRE(decoded.items.size() == 2U);
     BOOST_TEST(!decoded.items[0].postponed);
     BOOST_TEST(decoded.items[1].listed);
     BOOST_TEST(decoded.items[1].postponed);
+    BOOST_TEST((decoded.items[1].knownBefore == Revision(1, 9)));
     BOOST_TEST(!decodeChanges(encodeChanges({})).afterLoss);
 }
 
