--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -414,8 +414,16 @@
 StoreFollower::queryStore(const std::string &target, Milliseconds timeout, Query query)
 {
     ++m_storeCalls;
+    const auto begin = Clock::now();
     const auto reply = co_await m_store.get(target, timeout);
     const auto now = Clock::now();
+    if (reply.body.size() >= MinWorkerBytes) {
+        logEvent(LogLevel::Info,
+                 "store.large-reply",
+                 {{"query", queryName(query)},
+                  {"bytes", reply.body.size()},
+                  {"ms", std::chrono::duration_cast<Milliseconds>(now - begin).count()}});
+    }
     if (reply.status == 0) {
         co_return rejectReply(query, reply.failure, reply.error, now);
     }
@@ -455,6 +463,11 @@
     }
 }
 
+const char *StoreFollower::queryName(Query query)
+{
+    return query == Query::List ? "list" : "changes";
+}
+
 /// Whether the store no longer has the changes after the revision that was asked for.
 bool StoreFollower::isHistoryGone(const ChannelReply &reply, Query query)
 {
@@ -473,7 +486,7 @@
     ++m_rejectedReplies;
     logEvent(LogLevel::Warning,
              "store.reply-rejected",
-             {{"query", query == Query::List ? "list" : "changes"},
+             {{"query", queryName(query)},
               {"after", m_copy.position().value_or(Revision()).number},
               {"failure", name(failure)},
               {"error", error}});
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -102,6 +102,7 @@
     awaitable<QueryResult> queryStore(const std::string &target, Milliseconds timeout, Query query);
     /// Decodes a reply with status 200, or 410 for changes that the store no longer has.
     awaitable<QueryResult> decodeReply(const ChannelReply &reply, Query query, TimePoint now);
+    static const char *queryName(Query query);
     static bool isHistoryGone(const ChannelReply &reply, Query query);
     /// Records a reply that is not usable. One that would come back leads to a listing of the store.
     QueryResult rejectReply(Query query, ReplyFailure failure, const std::string &error, TimePoint now);
