Upstreams without evidence against them are tried although others fail

One that has answered becomes doubtful again with the mean of the pool, and faulty ones, which have waited longer, take the few idempotent requests before it. And slow first answers of an upstream that warms up counted as evidence of a fault.

An upstream with no evidence against it that has been idle for a second now gets the next request at its explorer, without a retry budget and before faulty ones; attempts that start while it warms up are compared with twice the usual time.

Five tests in test_upstreampool are new.

--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -168,6 +168,8 @@
     double faultProbabilityFromFinished(const Upstream &upstream, TimePoint now) const;
     /// Probability of a fault, from finished and pending attempts.
     double faultProbability(const Upstream &upstream, TimePoint now) const;
+    /// Share of requests that a healthy upstream runs for longer than the attempt has run.
+    static double longerShare(const Upstream &upstream, const Attempt &attempt, TimePoint now);
     double externalLoadOf(const Upstream &upstream, TimePoint now) const;
     /// Whether what the upstream has asked for allows a request now.
     bool isAllowed(const Upstream &upstream, TimePoint now) const;
@@ -177,6 +179,7 @@
     /// `anyHealth` is set.
     std::pair<Upstream *, double> selectUpstream(const Request &request, bool anyHealth, TimePoint now);
     bool isTrialDue(const Upstream &upstream, double fault, const Request &request, TimePoint now) const;
+    bool isUnsuspectedAndIdle(const Upstream &upstream, double fault, TimePoint now) const;
     Milliseconds trialInterval(const Upstream &upstream, double fault) const;
     bool isIdle(const Upstream &upstream, TimePoint now) const;
     bool hasHealthyUpstream(TimePoint now) const;
@@ -192,7 +195,8 @@
     AttemptId m_nextAttempt = 1;
     double m_trialCredit = 0; ///< number of trials that may start
     double m_prior; ///< probability of a fault without evidence
-    TimePoint m_lastRetryable; ///< start of the last request that could be retried
+    TimePoint m_lastIdempotent; ///< start of the last request that could run again
+    TimePoint m_lastRetryable; ///< start of the last one that the retry budget also allowed to be retried
     bool m_tooManyIdle = false; ///< too many of the upstreams that this instance explores have no requests
     IsExplorer m_isExplorer;
     RateShare m_rateShare;
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -25,6 +25,8 @@
 constexpr double MaxFault = 0.98;
 /// Above this probability, an upstream counts as faulty.
 constexpr double FaultyThreshold = 0.5;
+/// Up to this probability, an upstream is chosen by its load. Above it, it may stay idle while others are free.
+constexpr double PreferredThreshold = 0.05;
 /// Above this probability, an upstream receives retryable requests only as trials.
 constexpr double DoubtfulThreshold = 0.15;
 /// Final attempts go to upstreams above this probability only as trials. It is lower than FaultyThreshold because
@@ -39,6 +41,9 @@
 constexpr Milliseconds DoubtfulTrialInterval{1400};
 constexpr Milliseconds FaultyTrialInterval{3000};
 constexpr Milliseconds ConfirmationInterval{500};
+/// Time without an attempt of any instance after which an upstream without evidence against it receives a request, also
+/// one that cannot be retried. It is below the 2 s after which the upstream counts as unused.
+constexpr Milliseconds UnsuspectedIdleTime{1000};
 /// An upstream without an attempt of any instance for this time counts as idle.
 constexpr Milliseconds IdleTime{1600};
 /// If more upstreams are idle than this share of the healthy ones, idle ones receive trials whatever their health.
@@ -69,6 +74,8 @@
 constexpr double MaxTrialWaitSeconds = 10;
 constexpr double TrialBonusPerSecond = 0.2;
 constexpr double WarmupCost = 0.3;
+/// Factor by which the execution times of an upstream that warms up are longer than usual.
+constexpr double WarmupSlowdown = 2;
 constexpr double MaxRandomCost = 0.1;
 constexpr double SlownessWeight = 0.2;
 constexpr double MaxSlowness = 10;
@@ -146,8 +153,9 @@
 std::optional<UpstreamPool::Choice> UpstreamPool::startAttempt(const Request &request, TimePoint now)
 {
     updatePoolState(now);
-    if (!request.finalAttempt && request.allowTrial) {
-        m_lastRetryable = now;
+    if (!request.finalAttempt) {
+        m_lastIdempotent = now;
+        m_lastRetryable = request.allowTrial ? now : m_lastRetryable;
     }
     m_trialCredit = std::min(m_trialCredit + TrialShare, MaxTrialCredit);
     auto [upstream, fault] = selectUpstream(request, false, now);
@@ -158,7 +166,8 @@
         return std::nullopt;
     }
     if (isTrialDue(*upstream, fault, request, now)) {
-        m_trialCredit = std::max(0.0, m_trialCredit - 1);
+        const bool needsCredit = !isUnsuspectedAndIdle(*upstream, fault, now);
+        m_trialCredit = std::max(0.0, m_trialCredit - (needsCredit ? 1 : 0));
         upstream->trialPending = true;
     }
     const auto attempt = m_nextAttempt++;
@@ -210,7 +219,7 @@
     const auto it = std::find_if(
         upstream.inFlight.begin(), upstream.inFlight.end(), [id](const Attempt &attempt) { return attempt.id == id; });
     const Attempt attempt = *it;
-    const double longerShare = attempt.latency->shareLongerThan(now - attempt.started);
+    const double share = longerShare(upstream, attempt, now);
     upstream.inFlight.erase(it);
     switch (outcome) {
     case AttemptOutcome::Success:
@@ -240,7 +249,7 @@
         upstream.fullUntil = now + FullBackoff;
         break;
     case AttemptOutcome::Abandoned:
-        addEvidence(upstream, attempt.superseded ? 0 : pendingEvidence(longerShare), now);
+        addEvidence(upstream, attempt.superseded ? 0 : pendingEvidence(share), now);
         break;
     case AttemptOutcome::Refused:
         break;
@@ -390,11 +399,18 @@
         if (attempt.superseded) {
             continue;
         }
-        evidence += pendingEvidence(attempt.latency->shareLongerThan(now - attempt.started));
+        evidence += pendingEvidence(longerShare(upstream, attempt, now));
     }
     return applyEvidence(faultProbabilityFromFinished(upstream, now), evidence);
 }
 
+double UpstreamPool::longerShare(const Upstream &upstream, const Attempt &attempt, TimePoint now)
+{
+    const double slowdown = attempt.started < upstream.warmupEnd ? WarmupSlowdown : 1;
+    return attempt.latency->shareLongerThan(
+        std::chrono::duration_cast<Clock::duration>((now - attempt.started) / slowdown));
+}
+
 double UpstreamPool::externalLoadOf(const Upstream &upstream, TimePoint now) const
 {
     return upstream.externalLoad * std::exp2(-seconds(now - upstream.externalLoadAt) / ExternalLoadHalfLifeSeconds);
@@ -421,10 +437,10 @@
     cost += now < upstream.warmupEnd ? WarmupCost : 0;
     cost += SlownessWeight * std::max(0.0, upstream.slowness - 1);
     if (trialDue) {
-        // Trials go first to the upstream whose last attempt is the longest ago; of those that may lose a request, to
-        // the one that is most likely healthy.
+        // Trials go first to the upstream that is most likely healthy, so that many faulty ones do not take the few
+        // requests that can be retried; among equals, to the one whose last attempt is the longest ago.
         const double waited = std::min(seconds(now - upstream.lastAttempt), MaxTrialWaitSeconds);
-        return cost - TrialBonus - waited * TrialBonusPerSecond + (request.finalAttempt ? FaultCost * fault : 0);
+        return cost - TrialBonus - waited * TrialBonusPerSecond + FaultCost * fault;
     }
     if (request.finalAttempt) {
         return cost + FinalAttemptFaultCost * fault;
@@ -438,11 +454,20 @@
 }
 
 /// Whether the request should be sent to the upstream to find out about its health. One instance does so for all, since
-/// each failed trial costs a retry or a request. Final attempts are used only if too many upstreams are idle and there
-/// are no retryable requests.
+/// each failed trial costs a retry or a request. Final attempts are used if too many upstreams are idle and there are
+/// no retryable requests, or if there is no evidence against this one. In the latter case no retry is needed: the
+/// request is hardly more likely to fail than elsewhere, and without it the upstream would stay unused while the retry
+/// budget is spent or few requests are idempotent.
 bool UpstreamPool::isTrialDue(const Upstream &upstream, double fault, const Request &request, TimePoint now) const
 {
-    if (!upstream.explored || m_trialCredit < 1 || (!request.finalAttempt && !request.allowTrial)) {
+    if (!upstream.explored) {
+        return false;
+    }
+    if (isUnsuspectedAndIdle(upstream, fault, now)) {
+        // One that has never answered receives no final attempts while there are others.
+        return upstream.lastSucceeded || !request.finalAttempt || now - m_lastIdempotent > RetryableTimeout;
+    }
+    if (m_trialCredit < 1 || (!request.finalAttempt && !request.allowTrial)) {
         return false;
     }
     const bool usable = !request.finalAttempt || now - m_lastRetryable > RetryableTimeout;
@@ -458,6 +483,15 @@
     return now - std::max(upstream.lastAttempt, upstream.addedAt) > IdleTime;
 }
 
+/// Whether the upstream has received nothing for some time although it has never been tried or its newest attempt has
+/// succeeded, and would go on to receive nothing because the faults of others have raised its probability of a fault.
+bool UpstreamPool::isUnsuspectedAndIdle(const Upstream &upstream, double fault, TimePoint now) const
+{
+    const bool suspected = upstream.lastAttempt != TimePoint() && !upstream.lastSucceeded;
+    return !suspected && upstream.inFlight.empty() && fault > PreferredThreshold && fault <= FinalAttemptFaultyThreshold
+        && now - std::max(upstream.lastAttempt, upstream.addedAt) > UnsuspectedIdleTime;
+}
+
 Milliseconds UpstreamPool::trialInterval(const Upstream &upstream, double fault) const
 {
     if (upstream.lastSucceeded) {
--- a/tests/test_upstreampool.cpp
+++ b/tests/test_upstreampool.cpp
@@ -402,6 +402,139 @@
     BOOST_TEST(countChoices(false, 1)["new"] == 1);
 }
 
+// Guards against new upstreams that stay unused while the retry budget is spent, as after many failures: one without
+// evidence against it receives a request within about a second, and no more if that fails.
+BOOST_FIXTURE_TEST_CASE(upstreamWithoutEvidenceReceivesARequestWithoutARetryBudget, Fixture)
+{
+    for (const auto *id : {"a", "b", "c", "d"}) {
+        runAttempts(AttemptOutcome::Success, id, 3);
+    }
+    pool.put(makeUpstream("new"), now);
+    allowTrial = false;
+    std::vector<Milliseconds> received;
+    const auto added = now;
+    while (now - added < 3s) {
+        now += 20ms;
+        const auto choice = start(false);
+        BOOST_REQUIRE(choice);
+        const bool isNew = choice->upstream.id == "new";
+        if (isNew) {
+            received.push_back(std::chrono::duration_cast<Milliseconds>(now - added));
+        }
+        pool.finishAttempt(
+            choice->attempt, isNew ? AttemptOutcome::Timeout : AttemptOutcome::Success, std::nullopt, now);
+    }
+    BOOST_REQUIRE(received.size() == 1);
+    BOOST_TEST(received.front().count() <= 1100);
+}
+
+// Guards against new upstreams that wait behind many faulty ones for the few requests that can be retried.
+BOOST_FIXTURE_TEST_CASE(upstreamsWithoutEvidenceAreTriedBeforeFaultyOnes, Fixture)
+{
+    for (const auto *id : {"a", "b", "c"}) {
+        runAttempts(AttemptOutcome::Timeout, id, 4);
+    }
+    earnTrialCredit();
+    pool.put(makeUpstream("new"), now);
+    for (int n = 0; n < 40; ++n) {
+        now += 100ms;
+        pool.addRemoteObservation({"d", 1, 0, {}}, now);
+        if (n == 28) {
+            pool.addRemoteObservation({"new", 1, 0, {}}, now);
+        }
+    }
+    BOOST_TEST(faultOf("new") > 0.15);
+    const auto choice = start(false);
+    BOOST_REQUIRE(choice);
+    BOOST_TEST(choice->upstream.id == "new");
+}
+
+// Guards against upstreams that have answered their first request and then stay unused: others fail meanwhile, which
+// raises the probability of a fault of those that are idle, and few requests are idempotent.
+BOOST_FIXTURE_TEST_CASE(finalAttemptsReachIdleUpstreamsThatHaveAnswered, Fixture)
+{
+    std::vector<std::string> faulty;
+    for (int n = 0; n < 8; ++n) {
+        faulty.push_back("faulty" + std::to_string(n));
+        pool.put(makeUpstream(faulty.back()), now);
+    }
+    const auto report = [this](const std::string &id, unsigned successes, unsigned failures) {
+        pool.addRemoteObservation({id, successes, failures, {}}, now);
+    };
+    for (const auto *id : {"b", "c", "d"}) {
+        report(id, 20, 0);
+    }
+    report("a", 1, 0);
+    std::vector<Milliseconds> received;
+    const auto begin = now;
+    while (now - begin < 3s) {
+        now += 20ms;
+        for (const auto *id : {"b", "c", "d"}) {
+            report(id, 1, 0);
+        }
+        for (const auto &id : faulty) {
+            report(id, 0, 1);
+        }
+        if (const auto idempotent = start(false, {"a"})) {
+            pool.finishAttempt(idempotent->attempt, AttemptOutcome::Refused, std::nullopt, now);
+        }
+        const auto choice = start(true);
+        BOOST_REQUIRE(choice);
+        if (choice->upstream.id == "a") {
+            received.push_back(std::chrono::duration_cast<Milliseconds>(now - begin));
+        }
+        pool.finishAttempt(choice->attempt, AttemptOutcome::Success, std::nullopt, now);
+    }
+    BOOST_REQUIRE(!received.empty());
+    BOOST_TEST(received.front().count() <= 1100);
+}
+
+// Guards against new upstreams of a service without retryable requests that stay unused: with too few of them idle for
+// trials of any health, only the evidence against an upstream may keep a final attempt from it.
+BOOST_FIXTURE_TEST_CASE(finalAttemptsReachUpstreamsWithoutEvidence, Fixture)
+{
+    for (const auto *id : {"a", "b", "c", "d"}) {
+        runAttempts(AttemptOutcome::Success, id, 3);
+    }
+    now += 1s; // since the last retryable request
+    pool.put(makeUpstream("new"), now);
+    int received = 0;
+    for (int n = 0; n < 60; ++n) {
+        now += 20ms;
+        const auto choice = start(true);
+        BOOST_REQUIRE(choice);
+        received += choice->upstream.id == "new" ? 1 : 0;
+        pool.finishAttempt(choice->attempt, AttemptOutcome::Success, std::nullopt, now);
+    }
+    BOOST_TEST(received >= 1);
+}
+
+// Guards against taking the slow first answers of an upstream that warms up for a fault.
+BOOST_FIXTURE_TEST_CASE(slownessWhileWarmingUpIsWeakEvidence, Fixture)
+{
+    auto cold = makeUpstream("cold");
+    cold.warmupLeft = 3s;
+    pool.put(cold, now);
+    pool.put(makeUpstream("warm"), now);
+    for (int n = 0; n < 50; ++n) {
+        latency.record(Milliseconds(60 + 2 * n));
+    }
+    const std::vector<std::string> known{"a", "b", "c", "d"};
+    const auto first = start(false, known);
+    auto others = known;
+    BOOST_REQUIRE(first);
+    others.push_back(first->upstream.id);
+    const auto second = start(false, others);
+    BOOST_REQUIRE(second);
+    now += 200ms;
+    BOOST_TEST(faultOf("warm") > 0.5);
+    BOOST_TEST(faultOf("cold") < 0.5);
+    pool.finishAttempt(first->attempt, AttemptOutcome::Abandoned, std::nullopt, now);
+    pool.finishAttempt(second->attempt, AttemptOutcome::Abandoned, std::nullopt, now);
+    BOOST_TEST(faultOf("warm") > 0.5);
+    BOOST_TEST(faultOf("cold") < 0.5);
+}
+
 // Guards against avoiding a recovered upstream until requests that it lost before have timed out.
 BOOST_FIXTURE_TEST_CASE(lostEarlierRequestsDoNotCountAgainstARecoveredUpstream, Fixture)
 {
