gateway: free requests that are in flight when the forwarder is destroyed

A request owns the exchange of each of its attempts, and the handler of the exchange owns the request. A non-idempotent attempt goes on without its caller, so that nothing ended the two when the event loop was gone. The address sanitizer reported 827,669 bytes in 44 allocations of two tests of test_callerserver, both of which end with such an attempt. An instance leaves with quick_exit() and each attempt ends at its deadline, so that nothing leaked in service.

The forwarder drops the attempts that are left when it is destroyed. The new test failed before: the routes of the request were still owned.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -27,7 +27,16 @@
 {
 }
 
-Forwarder::~Forwarder() = default;
+Forwarder::~Forwarder()
+{
+    std::vector<std::shared_ptr<Forwarding>> active;
+    for (auto *it : *m_active) {
+        active.push_back(it->shared_from_this());
+    }
+    for (const auto &it : active) {
+        it->release();
+    }
+}
 
 std::shared_ptr<Forwarding> Forwarder::forward(ForwardedRequest request, Handler handler)
 {
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -292,4 +292,14 @@
     m_runs == 0 ? refuse(Leaving, now) : giveUp(http::status::gateway_timeout, Leaving, now);
 }
 
+void Forwarding::release()
+{
+    m_handler = nullptr;
+    m_deadlineTimer.cancel();
+    m_hedgeTimer.cancel();
+    for (const auto &attempt : std::exchange(m_attempts, {})) {
+        attempt.exchange->cancel();
+    }
+}
+
 } // namespace laburnumspar::detail
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -33,6 +33,9 @@
     void onCallerClosed();
     /// Gives the request its final answer, because the instance stops.
     void end(TimePoint now);
+    /// Drops the attempts without an answer, because the forwarder is destroyed. An attempt and its request own each
+    /// other until the attempt ends, which it does not without the event loop.
+    void release();
     /// Starts an attempt if an upstream has a free slot, or refuses the request if upstreams have crashed under it.
     /// Returns false if the request has to wait.
     bool tryStart(TimePoint now);
--- a/tests/test_callerserver.cpp
+++ b/tests/test_callerserver.cpp
@@ -739,6 +739,22 @@
     BOOST_TEST(contains(third.receive(1), "HTTP/1.1 200"));
 }
 
+// Guards against requests whose memory is never freed, because their exchange with an upstream ends neither before the
+// event loop nor with it.
+BOOST_AUTO_TEST_CASE(requestsInFlightAreFreedWithTheEventLoop)
+{
+    std::weak_ptr<const RouteTable> table; // a request owns the routes with which it has begun
+    {
+        MemoryFixture fixture;
+        table = fixture.serviceRegistry.routes();
+        RawCaller caller(fixture.context);
+        caller.sendRequest("r1");
+        caller.runFor(300ms);
+        BOOST_TEST(fixture.forwarder.inFlight() == 1U);
+    }
+    BOOST_TEST(table.expired());
+}
+
 // Guards against reading a body, or asking for it, that has no place in the memory.
 BOOST_FIXTURE_TEST_CASE(bodiesThatDoNotFitAreNotAskedFor, MemoryFixture)
 {
