--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -299,4 +299,14 @@
     }
 }
 
+void Forwarding::release()
+{
+    m_handler = nullptr;
+    m_deadlineTimer.cancel();
+    m_hedgeTimer.cancel();
+    for (const auto &attempt : std::exchange(m_attempts, {})) {
+        attempt.exchange->cancel();
+    }
+}
+
 } // namespace laburnumspar::detail
