--- a/tests/fleet/run.sh
+++ b/tests/fleet/run.sh
@@ -2,7 +2,7 @@
 # run.sh [NAME...]: runs the named fleet tests, or all of them, one after another. Exits with 1 if any test failed.
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 1
-TIMEOUT=60 # seconds after which a test is terminated and counts as failed
+TIMEOUT=${TIMEOUT:-60} # seconds after which a test is terminated and counts as failed
 names=("$@")
 if ((!$#)); then
     mapfile -t names < <(find tests/fleet -name '*.sh' ! -name lib.sh ! -name run.sh -printf '%f\n' | sed 's/\.sh$//' | sort)
