--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -88,6 +88,9 @@
     }
 
 private:
+    /// Larger messages and values are decoded by the worker thread; for others the change of threads costs more.
+    static constexpr std::size_t MinWorkerBytes = 32 << 10;
+
     using Step = awaitable<void> (StoreFollower::*)();
     enum class Query : std::uint8_t {
         List,
