gateway: the parameter of the stop schedule has one name

Cause: the header named it after the member, the source after what it is.

Change: signalSent in both.

Measured: the build and test_stopschedule pass.

--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -10,8 +10,8 @@
 /// When the phases of a planned stop begin. It is fixed at the signal, because the process is killed at the end of the
 /// grace time that was in force then.
 struct StopSchedule {
-    /// `requested`: when the signal was sent. `grace`: from then until the process is killed.
-    StopSchedule(TimePoint requested, Milliseconds grace);
+    /// `grace`: from the time when the signal was sent until the process is killed.
+    StopSchedule(TimePoint signalSent, Milliseconds grace);
 
     TimePoint requested;
     TimePoint refuseFrom; ///< requests that are read later are refused as not run
