--- a/fuzz/fuzz_groupmessages.cpp
+++ b/fuzz/fuzz_groupmessages.cpp
@@ -13,10 +13,11 @@
 GroupHeartbeat sampleHeartbeat()
 {
     GroupHeartbeat heartbeat;
-    heartbeat.sender = {"10.1.0.7", "palermo", 42, InstanceRole::Active, 200, 17, {2, 99}, 1200, 300, 5};
+    heartbeat.sender = {"10.1.0.7", "palermo", 42, InstanceRole::Active, 200, 17, 321, {2, 99}, 1200, 300, 5};
     heartbeat.knownInstances.push_back({{"10.2.0.1", "catania", 41, InstanceRole::Spare, 500}, Milliseconds(700)});
     heartbeat.observations.push_back({"orders", {"i-1", 3, 1}});
     heartbeat.suspects.push_back({5, Milliseconds(40), {{6, Milliseconds(30), true}}});
+    heartbeat.quotas.push_back({7, 12.5, 3});
     return heartbeat;
 }
 
--- a/fuzz/fuzz_platformsettings.cpp
+++ b/fuzz/fuzz_platformsettings.cpp
@@ -28,7 +28,7 @@
 heartbeat_s = 1.5
 platform = { addr = "10.200.1.7:8142" }
 [terms]
-bounds = { grace_s = 6, ttl_max_s = 5, retry_ratio = 0.2, retry_window_s = 10, retry_slack = 58 }
+bounds = { grace_s = 6, ttl_max_s = 5, retry_ratio = 0.2, retry_window_s = 10, retry_slack = 58, quota_window_s = 5, quota_over = 0.25, quota_slack = 20 }
 )";
 
 /// Values that no field may have, whatever its rule.
@@ -78,7 +78,8 @@
         && isEndpoint(settings.store) && std::all_of(settings.seeds.begin(), settings.seeds.end(), isEndpoint)
         && settings.capacity > 0 && settings.capacity <= rules::MaxCores * 1000 && settings.memoryBytes >= 1 << 20
         && bounds.graceTime.count() >= 0 && bounds.retryShare >= 0 && bounds.retryReserve <= rules::MaxRetries
-        && bounds.retryWindow.count() > 0 && bounds.heartbeat.count() > 0;
+        && bounds.retryWindow.count() > 0 && bounds.heartbeat.count() > 0 && bounds.quota.window.count() > 0
+        && bounds.quota.excessShare >= 0 && bounds.quota.excessRequests >= 0;
 }
 
 } // namespace
--- a/include/laburnumspar/gateway.h
+++ b/include/laburnumspar/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnumspar/instancegroup.h"
+#include "laburnumspar/quotaledger.h"
 #include "laburnumspar/routetable.h"
 #include "laburnumspar/storemirror.h"
 #include "laburnumspar/upstreamregistry.h"
@@ -25,6 +26,8 @@
     std::string notRun; ///< present if the upstream has not run the request and will not run it
     std::string requestRate; ///< requests per second that the upstream takes from all instances together
     std::string leaving; ///< "1" in the answers of an upstream that takes no new requests
+    std::string organisationKey{}; ///< key of the caller's organisation; not sent to upstreams
+    std::string organisation{}; ///< name of the caller's organisation, set by the instance
 };
 
 /// Limits that the operators set for the whole fleet.
@@ -34,6 +37,7 @@
     double retryShare = 0.2; ///< retries per request, over all instances
     Milliseconds retryWindow{10'000}; ///< sliding window in which retries are counted
     double retryReserve = 60; ///< further retries per window, over all instances
+    QuotaTerms quota; ///< what requests of an organisation may exceed its quota
     Milliseconds heartbeat{1500}; ///< interval at which upstreams renew their store entries
 };
 
--- a/include/laburnumspar/instancegroup.h
+++ b/include/laburnumspar/instancegroup.h
@@ -32,6 +32,7 @@
     InstanceRole role = InstanceRole::Standby;
     std::uint16_t capacity = 0; ///< CPU time that it may use, in thousandths of a core
     std::uint16_t load = 0; ///< CPU time in use, in thousandths of a core
+    std::uint16_t requestRate = 0; ///< requests per second that it takes from callers
     Revision storeRevision{}; ///< newest revision in its copy of the store
     std::uint32_t storeAgeMs = 0; ///< time since its last response from the store
     std::uint32_t fleetStoreAgeMs = 0; ///< time since the last response of the store to any instance, as far as known
--- a/include/laburnumspar/routetable.h
+++ b/include/laburnumspar/routetable.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "laburnumspar/organisations.h"
 #include "laburnumspar/types.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -29,6 +31,13 @@
     Milliseconds timeout{0}; ///< maximum time to the final response; 0: only the caller's deadline applies
     Milliseconds objective{0}; ///< service level objective: target time to the final response; 0: none
     unsigned priority = 0; ///< 0 is the most urgent
+    bool isPublic = false; ///< callers need no key
+};
+
+/// For whom a request may run.
+struct Access {
+    bool granted = true;
+    const Organisation *organisation = nullptr; ///< whose key the caller has sent; null if none is needed or known
 };
 
 /// Configuration of the upstreams of one service.
@@ -45,7 +54,7 @@
     Milliseconds idleTimeout{15000}; ///< maximum idle time of a connection
 };
 
-/// One version of the routes and services. Immutable after build().
+/// One version of the routes, services and organisations. Immutable after build().
 class RouteTable
 {
 public:
@@ -68,6 +77,14 @@
         return m_services;
     }
 
+    /// The organisations; null if callers need no keys.
+    const OrganisationTable *organisations() const
+    {
+        return m_organisations ? &*m_organisations : nullptr;
+    }
+    /// Decides whether a request for the route may run. `key`: the only key that it carries, if any.
+    Access access(const Route &route, const std::optional<KeyDigest> &key) const;
+
     /// Returns the route of the host with the longest matching path prefix, or null if there is none. A port in `host`
     /// and a query in `target` are ignored.
     const Route *match(std::string_view host, std::string_view target) const;
@@ -77,6 +94,7 @@
     CallerLimits m_limits;
     std::vector<Route> m_routes;
     std::map<std::string, ServicePolicy> m_services;
+    std::optional<OrganisationTable> m_organisations;
     std::unordered_map<std::string, std::size_t> m_index; ///< position in m_routes by host followed by prefix
 };
 
@@ -87,6 +105,8 @@
     Builder &limits(const CallerLimits &limits);
     Builder &service(std::string name, ServicePolicy policy);
     Builder &route(Route route);
+    /// From now on, callers need a key of one of these organisations unless the route is public.
+    Builder &organisations(OrganisationTable organisations);
     /// Throws SettingsError for a route without targets, with an invalid prefix or weight, or with an undefined
     /// service.
     std::shared_ptr<const RouteTable> build();
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -10,16 +10,30 @@
 /// Retry-After for requests that arrive before the routes are known; an instance usually reads them within this time
 /// after its start.
 constexpr Milliseconds NoRoutesRetryAfter{500};
+constexpr std::string_view QuotaUsedUp = "the quota of the organisation is used up";
+
+/// Sets what the upstream is told about the caller's organisation.
+void identify(ForwardedRequest &request, const RouteTable &table, const Access &access)
+{
+    if (table.organisations() == nullptr) {
+        request.headers += request.identityHeaders;
+    } else if (access.organisation != nullptr) {
+        request.organisation = access.organisation->name;
+    }
+    request.identityHeaders.clear();
+}
 
 } // namespace
 
 Forwarder::Forwarder(asio::io_context &context,
                      ServiceRegistry &serviceRegistry,
+                     QuotaLedger &quotas,
                      const ForwardingHeaders &headers,
                      MetricsRegistry &metrics,
                      MemoryBudget &memory)
     : m_context(context)
     , m_serviceRegistry(serviceRegistry)
+    , m_quotas(quotas)
     , m_headers(headers)
     , m_metrics(metrics)
     , m_connections(context, headers, memory)
@@ -40,6 +54,8 @@
 
 std::shared_ptr<Forwarding> Forwarder::forward(ForwardedRequest request, Handler handler)
 {
+    const auto now = Clock::now();
+    m_quotas.recordArrival(now);
     const auto &table = m_serviceRegistry.routes();
     const auto postLocalAnswer = [&](http::status status, std::string_view detail, Milliseconds retryAfter) {
         report(UnroutedRequest{request.id, request.target, table ? table->version() : 0, unsigned(status), detail},
@@ -59,6 +75,17 @@
         postLocalAnswer(http::status::not_found, "no route for this host and path", Milliseconds(0));
         return nullptr;
     }
+    const auto access = table->access(*route, request.key);
+    if (!access.granted) {
+        postLocalAnswer(http::status::unauthorized, UnknownKey, Milliseconds(0));
+        return nullptr;
+    }
+    const bool spends = access.organisation != nullptr && !route->isPublic;
+    if (const auto wait = spends ? m_quotas.trySpend(*access.organisation, now) : std::nullopt) {
+        postLocalAnswer(http::status::too_many_requests, QuotaUsedUp, *wait);
+        return nullptr;
+    }
+    identify(request, *table, access);
     auto service = m_serviceRegistry.nextService(*route);
     auto forwarding = std::make_shared<Forwarding>(
         *this, std::move(request), table, *route, std::move(service), std::move(handler));
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -5,6 +5,7 @@
 #include "gateway/serviceregistry.h"
 #include "gateway/upstreamconnections.h"
 #include "laburnumspar/metrics.h"
+#include "laburnumspar/quotaledger.h"
 
 #include <functional>
 #include <map>
@@ -25,6 +26,7 @@
     /// `memory`: for the bodies of answers.
     Forwarder(asio::io_context &context,
               ServiceRegistry &serviceRegistry,
+              QuotaLedger &quotas,
               const ForwardingHeaders &headers,
               MetricsRegistry &metrics,
               MemoryBudget &memory);
@@ -69,8 +71,11 @@
 private:
     friend class Forwarding;
 
+    static constexpr std::string_view UnknownKey = "no key of an organisation";
+
     asio::io_context &m_context;
     ServiceRegistry &m_serviceRegistry;
+    QuotaLedger &m_quotas;
     const ForwardingHeaders &m_headers;
     MetricsRegistry &m_metrics;
     UpstreamConnections m_connections;
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -26,6 +26,12 @@
 constexpr std::string_view Leaving = "leaving";
 constexpr std::string_view UpstreamFailed = "upstream failed";
 
+unsigned priorityOf(const RouteTable &table, const Route &route, const ForwardedRequest &request)
+{
+    const auto *organisation = table.access(route, request.key).organisation;
+    return organisation != nullptr ? organisation->priority.value_or(route.priority) : route.priority;
+}
+
 } // namespace
 
 Forwarding::Forwarding(Forwarder &forwarder,
@@ -38,6 +44,8 @@
     , m_request(std::move(request))
     , m_table(std::move(table))
     , m_route(route)
+    , m_priority(priorityOf(*m_table, route, m_request))
+    , m_quotaOwner(route.isPublic ? std::string() : m_request.organisation)
     , m_service(forwarder.m_serviceRegistry.service(service))
     , m_latency(forwarder.m_serviceRegistry.latency(route))
     , m_handler(std::move(handler))
@@ -85,8 +93,31 @@
     return !m_route.idempotent || m_runs + 1 >= m_route.attempts;
 }
 
+/// The key may have been withdrawn, or given to another organisation, while the request was queued.
+bool Forwarding::refuseWithoutAccess(TimePoint now)
+{
+    const auto &newest = m_forwarder.m_serviceRegistry.routes();
+    if (newest == m_table || m_request.organisation.empty() || newest->organisations() == nullptr) {
+        return false;
+    }
+    const auto access = newest->access(m_route, m_request.key);
+    if (access.granted) {
+        m_request.organisation = access.organisation != nullptr ? access.organisation->name : std::string();
+        return false;
+    }
+    answer(makeLocalAnswer(
+               http::status::unauthorized, Forwarder::UnknownKey, m_request.id, m_forwarder.m_headers, Milliseconds(0)),
+           Outcome::NotRun,
+           Forwarder::UnknownKey,
+           now);
+    return true;
+}
+
 bool Forwarding::tryStart(TimePoint now)
 {
+    if (!m_firstAttemptAt && refuseWithoutAccess(now)) {
+        return true;
+    }
     if (const auto until = m_forwarder.m_crashSuspects.blockedUntil(m_digest, now)) {
         refuseUntil(*until, CrashesUpstreams, now);
         return true;
@@ -115,7 +146,7 @@
     const auto objective
         = m_route.objective.count() > 0 ? m_request.arrived + m_route.objective : TimePoint(m_deadline);
     const auto startBy = objective - m_latency.quantile(0.5);
-    m_queueEntry = RequestQueue::makeEntry(m_route.priority, startBy, m_forwarder.m_nextTicket++);
+    m_queueEntry = RequestQueue::makeEntry(m_priority, startBy, m_forwarder.m_nextTicket++);
     m_service.queue.add(*m_queueEntry);
     m_forwarder.m_queued[m_queueEntry->ticket] = weak_from_this();
     // A request that is expected to start too late is refused at once, while its caller can still retry elsewhere.
@@ -240,6 +271,9 @@
     if (!handler) {
         return;
     }
+    if (outcome == Outcome::NotRun && !m_quotaOwner.empty()) {
+        m_forwarder.m_quotas.refund(m_quotaOwner, now);
+    }
     report(RequestReport{m_request.id,
                          m_service.name,
                          &m_route,
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -54,6 +54,8 @@
         std::shared_ptr<Exchange> exchange;
     };
 
+    /// Refuses the request if a newer configuration has withdrawn its key. Returns whether it did.
+    bool refuseWithoutAccess(TimePoint now);
     bool isFinalAttempt() const;
     Milliseconds expectedWait(TimePoint now) const;
     Milliseconds timeLeft(TimePoint now) const;
@@ -89,6 +91,8 @@
     ForwardedRequest m_request;
     std::shared_ptr<const RouteTable> m_table; ///< owns m_route
     const Route &m_route;
+    unsigned m_priority; ///< 0 is the most urgent
+    std::string m_quotaOwner; ///< organisation whose quota the request has used; empty: none
     ServiceState &m_service;
     LatencyModel &m_latency;
     Forwarder::Handler m_handler;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 
 #include <sys/resource.h>
 
+#include <cmath>
 #include <csignal>
 #include <random>
 
@@ -76,7 +77,8 @@
         , serviceRegistry(settings.zone, settings.bounds, std::random_device()())
         , group(initialStatus(settings), {}, Clock::now())
         , assignment(settings.ip)
-        , forwarder(context, serviceRegistry, adapter.headers, metrics, memory)
+        , quotas(settings.ip, settings.bounds.quota, Clock::now())
+        , forwarder(context, serviceRegistry, quotas, adapter.headers, metrics, memory)
         , callers(context, settings.callers, forwarder, serviceRegistry, adapter.headers, memory)
         , readiness(context,
                     settings.readiness,
@@ -132,6 +134,7 @@
     ServiceRegistry serviceRegistry;
     InstanceGroup group;
     UpstreamAssignment assignment;
+    QuotaLedger quotas;
     Forwarder forwarder;
     CallerServer callers;
     HttpServer readiness;
@@ -161,16 +164,25 @@
     {
         GroupLink::Hooks hooks;
         hooks.fillStatus = [this](InstanceStatus &status) {
+            const auto now = Clock::now();
             status.load = std::uint16_t(std::min(load, 60'000.0));
-            follower.fillStatus(status, Clock::now());
+            status.requestRate = std::uint16_t(std::min(std::ceil(quotas.requestRate(now)), 65'000.0));
+            follower.fillStatus(status, now);
+        };
+        hooks.statusReceived = [this](const InstanceStatus &it) {
+            const auto now = Clock::now();
+            follower.receivePeerStatus(it, now);
+            quotas.receiveStatus(it, now);
         };
-        hooks.statusReceived = [this](const InstanceStatus &it) { follower.receivePeerStatus(it, Clock::now()); };
         hooks.observationReceived = [this](const UpstreamObservation &it) {
             serviceRegistry.service(it.service).pool.addRemoteObservation(it.counts, Clock::now());
         };
         hooks.takeObservations = [this] { return takeObservations(); };
         hooks.suspectReceived = [this](const SuspectReport &it) { forwarder.crashSuspects().merge(it, Clock::now()); };
         hooks.takeSuspects = [this] { return forwarder.crashSuspects().takeReports(Clock::now()); };
+        hooks.quotaReceived
+            = [this](const std::string &ip, const QuotaReport &it) { quotas.receiveReport(ip, it, Clock::now()); };
+        hooks.takeQuotaReports = [this] { return quotas.takeReports(MaxQuotaReports, Clock::now()); };
         hooks.roleChanged = [this](InstanceRole before, InstanceRole after) {
             const auto now = Clock::now();
             logEvent(LogLevel::Info,
@@ -269,8 +281,9 @@
     awaitable<HttpResponse> answerMetrics(HttpRequest request)
     {
         if (request.target() == "/dump") {
-            co_return makeResponse(
-                http::status::ok, "application/json", dumpState(group, serviceRegistry, follower, Clock::now()) + '\n');
+            co_return makeResponse(http::status::ok,
+                                   "application/json",
+                                   dumpState(group, serviceRegistry, quotas, follower, Clock::now()) + '\n');
         }
         if (request.target() != "/metrics") {
             co_return makeResponse(http::status::not_found, "text/plain", "unknown target\n");
@@ -285,6 +298,9 @@
         metrics.gauge("lspar_pulls_rejected").set(double(follower.rejectedPulls()));
         metrics.gauge("lspar_store_replies_rejected").set(double(follower.rejectedReplies()));
         metrics.gauge("lspar_requests_in_flight").set(double(forwarder.inFlight()));
+        metrics.gauge("lspar_quota_decisions", {{"result", "own-share"}}).set(double(quotas.counts().ownShare));
+        metrics.gauge("lspar_quota_decisions", {{"result", "reserve"}}).set(double(quotas.counts().reserve));
+        metrics.gauge("lspar_quota_decisions", {{"result", "refused"}}).set(double(quotas.counts().refused));
         metrics.gauge("lspar_memory_budget_bytes").set(double(memory.limit()));
         metrics.gauge("lspar_memory_held_bytes").set(double(memory.held()));
         for (const auto use : MemoryUses) {
@@ -365,6 +381,8 @@
         pauses.recordTick(now, interval);
         recordTick(due, now);
         measureLoad(now);
+        quotas.setActive(group.self().role == InstanceRole::Active);
+        quotas.prune(now);
         link.tick(now);
         forwarder.tick(now);
         memory.tick(now);
--- a/src/gateway/groupfields.h
+++ b/src/gateway/groupfields.h
@@ -76,13 +76,14 @@
 
 namespace sender {
 inline constexpr WireRule Load{"sender.load", WireType::Uint16, 0, MaxLoad};
+inline constexpr WireRule RequestRate{"sender.request_rate", WireType::Uint16, 0, MaxUint16};
 inline constexpr WireRule Era{"sender.era", WireType::Uint64, 0, MaxUint64};
 inline constexpr WireRule Revision{"sender.revision", WireType::Uint64, 0, MaxRevision};
 inline constexpr WireRule StoreAge{"sender.store_age", WireType::Uint32, 0, MaxUint32};
 inline constexpr WireRule FleetStoreAge{"sender.fleet_store_age", WireType::Uint32, 0, MaxUint32};
 inline constexpr WireRule Digest{"sender.store_digest", WireType::Uint32, 0, MaxUint32};
 inline constexpr WireRule ReplyRequested = flag("reply_requested");
-inline constexpr std::array All{Load, Era, Revision, StoreAge, FleetStoreAge, Digest, ReplyRequested};
+inline constexpr std::array All{Load, RequestRate, Era, Revision, StoreAge, FleetStoreAge, Digest, ReplyRequested};
 } // namespace sender
 
 namespace known {
@@ -118,6 +119,14 @@
 inline constexpr std::array All{Process, Age, Refuted};
 } // namespace crash
 
+namespace quota {
+inline constexpr WireRule Count{"quotas", WireType::Uint8, 0, MaxQuotaReports};
+inline constexpr WireRule Organisation{"quota.organisation", WireType::Uint64, 0, MaxUint64};
+inline constexpr WireRule Demand{"quota.demand", WireType::Uint32, 0, MaxUint32}; // thousandths of a request per second
+inline constexpr WireRule Drawn{"quota.drawn", WireType::Uint16, 0, MaxUint16};
+inline constexpr std::array All{Organisation, Demand, Drawn};
+} // namespace quota
+
 namespace changes {
 inline constexpr WireRule Era{"changes.era", WireType::Uint64, 0, MaxUint64};
 inline constexpr WireRule Revision{"changes.revision", WireType::Uint64, 0, MaxRevision};
--- a/src/gateway/grouplink.cpp
+++ b/src/gateway/grouplink.cpp
@@ -78,6 +78,9 @@
         for (const auto &it : heartbeat.suspects) {
             m_hooks.suspectReceived(it);
         }
+        for (const auto &it : heartbeat.quotas) {
+            m_hooks.quotaReceived(heartbeat.sender.ip, it);
+        }
         if (heartbeat.replyRequested) {
             send(encodeHeartbeat(makeHeartbeat(now, false), m_settings.zones), heartbeat.sender.ip);
         }
@@ -200,6 +203,24 @@
     }
 }
 
+/// Only active instances share quotas by demand; the others take few requests.
+void GroupLink::sendQuotaReports(TimePoint now)
+{
+    GroupHeartbeat heartbeat;
+    heartbeat.quotas = m_hooks.takeQuotaReports();
+    if (heartbeat.quotas.empty()) {
+        return;
+    }
+    m_hooks.fillStatus(m_group.self());
+    heartbeat.sender = m_group.self();
+    const auto bytes = encodeHeartbeat(heartbeat, m_settings.zones);
+    for (const auto &it : m_group.activeInstances("", now)) {
+        if (it.ip != m_settings.ip) {
+            send(bytes, it.ip);
+        }
+    }
+}
+
 void GroupLink::requestStatus(TimePoint now)
 {
     m_lastStatusRequest = now;
@@ -247,6 +268,7 @@
     if (now - m_lastObservationsSent >= ObservationInterval) {
         m_lastObservationsSent = now;
         sendObservations(now);
+        sendQuotaReports(now);
     }
     // Callers repeat a request soon, so the others have to know at once.
     sendSuspects(now);
--- a/src/gateway/grouplink.h
+++ b/src/gateway/grouplink.h
@@ -25,6 +25,9 @@
         std::function<void(const SuspectReport &)> suspectReceived;
         /// Returns what has been learned about requests under which upstreams crash and is due for the others.
         std::function<std::vector<SuspectReport>()> takeSuspects;
+        std::function<void(const std::string &ip, const QuotaReport &)> quotaReceived;
+        /// Returns what the others need to know of the organisations whose shares are used up.
+        std::function<std::vector<QuotaReport>()> takeQuotaReports;
         std::function<void(InstanceRole before, InstanceRole after)> roleChanged;
     };
 
@@ -46,6 +49,7 @@
     void sendHeartbeats(TimePoint now);
     void sendObservations(TimePoint now);
     void sendSuspects(TimePoint now);
+    void sendQuotaReports(TimePoint now);
     void sendObservationsTo(const std::vector<std::string> &addresses,
                             const std::vector<UpstreamObservation> &observations);
     void requestStatus(TimePoint now);
--- a/src/gateway/groupmessages.cpp
+++ b/src/gateway/groupmessages.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint32_t HeartbeatMagic = 0x4c424735; // "LBG5"
+constexpr std::uint32_t HeartbeatMagic = 0x4c424736; // "LBG6"
 constexpr std::uint32_t ChangesMagic = 0x4c424d34; // "LBM4"
 std::uint32_t encodeAddress(const std::string &ip)
 {
@@ -60,6 +60,7 @@
     namespace fields = wire::sender;
     saveIdentity(ar, sender, zones);
     saveField(ar, fields::Load, sender.load);
+    saveField(ar, fields::RequestRate, sender.requestRate);
     saveField(ar, fields::Era, sender.storeRevision.era);
     saveField(ar, fields::Revision, sender.storeRevision.number);
     saveField(ar, fields::StoreAge, sender.storeAgeMs);
@@ -72,6 +73,7 @@
     namespace fields = wire::sender;
     loadIdentity(ar, sender, zones);
     sender.load = std::uint16_t(loadField(ar, fields::Load));
+    sender.requestRate = std::uint16_t(loadField(ar, fields::RequestRate));
     sender.storeRevision.era = loadField(ar, fields::Era);
     sender.storeRevision.number = loadField(ar, fields::Revision);
     sender.storeAgeMs = std::uint32_t(loadField(ar, fields::StoreAge));
@@ -200,6 +202,22 @@
     return result;
 }
 
+void saveQuotaReport(OutputArchive &ar, const QuotaReport &report)
+{
+    namespace fields = wire::quota;
+    saveField(ar, fields::Organisation, report.organisation);
+    saveField(ar, fields::Demand, encodeRate(report.demand));
+    saveField(ar, fields::Drawn, std::min<std::uint64_t>(report.drawn, wire::MaxUint16));
+}
+
+void loadQuotaReport(InputArchive &ar, QuotaReport &report)
+{
+    namespace fields = wire::quota;
+    report.organisation = loadField(ar, fields::Organisation);
+    report.demand = double(loadField(ar, fields::Demand)) / RateScale;
+    report.drawn = unsigned(loadField(ar, fields::Drawn));
+}
+
 void saveItem(OutputArchive &ar, const StoreItem &item)
 {
     namespace fields = wire::item;
@@ -289,6 +307,11 @@
         for (std::size_t n = 0; n < suspects; ++n) {
             saveSuspect(ar, heartbeat.suspects[n]);
         }
+        const auto quotas = std::min(heartbeat.quotas.size(), MaxQuotaReports);
+        saveField(ar, wire::quota::Count, quotas);
+        for (std::size_t n = 0; n < quotas; ++n) {
+            saveQuotaReport(ar, heartbeat.quotas[n]);
+        }
     });
 }
 
@@ -311,6 +334,10 @@
         for (auto &it : heartbeat.suspects) {
             loadSuspect(ar, it);
         }
+        heartbeat.quotas.resize(loadCount(ar, wire::quota::Count));
+        for (auto &it : heartbeat.quotas) {
+            loadQuotaReport(ar, it);
+        }
     });
     return heartbeat;
 }
--- a/src/gateway/groupmessages.h
+++ b/src/gateway/groupmessages.h
@@ -2,6 +2,7 @@
 
 #include "gateway/crashsuspects.h"
 #include "laburnumspar/instancegroup.h"
+#include "laburnumspar/quotaledger.h"
 #include "laburnumspar/storemirror.h"
 #include "laburnumspar/upstreampool.h"
 
@@ -34,6 +35,7 @@
     std::vector<KnownInstance> knownInstances;
     std::vector<UpstreamObservation> observations;
     std::vector<SuspectReport> suspects;
+    std::vector<QuotaReport> quotas;
 };
 
 /// Maximum number of known instances per datagram; more do not fit into 1,400 bytes.
@@ -45,6 +47,9 @@
 /// Maximum number of requests under which upstreams have crashed per datagram.
 constexpr std::size_t MaxSuspectReports = 16;
 
+/// Maximum number of organisations per datagram.
+constexpr std::size_t MaxQuotaReports = 32;
+
 /// `zones` lists the zone names in an order that all instances share. Throws EncodeError.
 Bytes encodeHeartbeat(const GroupHeartbeat &heartbeat, const std::vector<std::string> &zones);
 /// Throws DecodeError if the datagram is invalid.
--- a/src/gateway/httptext.cpp
+++ b/src/gateway/httptext.cpp
@@ -35,14 +35,15 @@
     return !connection.empty() && http::token_list(connection).exists(name);
 }
 
-template <typename Fields, typename Skip>
-std::string endToEndHeaders(const Fields &fields, Skip &&skip)
+/// Returns the lines of the end-to-end headers that `select` accepts.
+template <typename Fields, typename Select>
+std::string endToEndHeaders(const Fields &fields, Select &&select)
 {
     const auto connection = fields[http::field::connection];
     std::string lines;
     for (const auto &field : fields) {
         if (isHopByHop(field.name()) || isListedInConnection(connection, field.name_string())
-            || skip(field.name_string())) {
+            || !select(field.name_string())) {
             continue;
         }
         lines.append(field.name_string().data(), field.name_string().size());
@@ -63,6 +64,20 @@
     return {view.data(), view.size()};
 }
 
+/// Digest of the key in the headers, unless they contain several or one of an invalid length.
+std::optional<KeyDigest> callerKey(const CallerMessage &message, const std::string &name)
+{
+    const auto [begin, end] = message.equal_range(name);
+    if (begin == end || std::next(begin) != end) {
+        return std::nullopt;
+    }
+    const auto key = begin->value();
+    if (key.empty() || key.size() > OrganisationTable::MaxKeyBytes) {
+        return std::nullopt;
+    }
+    return digestOfKey({key.data(), key.size()});
+}
+
 Milliseconds parseDeadline(beast::string_view value)
 {
     std::int64_t ms = 0;
@@ -83,8 +98,14 @@
     request.method = text(message.method_string());
     request.target = text(message.target());
     request.host = text(message[http::field::host]);
-    request.headers = endToEndHeaders(
-        message, [&](auto name) { return equals(name, names.deadline) || equals(name, names.expectedIdentity); });
+    const auto isIdentity = [&names](beast::string_view name) {
+        return equals(name, names.organisationKey) || equals(name, names.organisation);
+    };
+    request.headers = endToEndHeaders(message, [&](auto name) {
+        return !equals(name, names.deadline) && !equals(name, names.expectedIdentity) && !isIdentity(name);
+    });
+    request.identityHeaders = endToEndHeaders(message, isIdentity);
+    request.key = callerKey(message, names.organisationKey);
     request.hasBody = message.has_content_length() || message.chunked();
     request.body = std::make_shared<const MessageBody>(std::move(message.body()));
     request.arrived = now;
@@ -101,6 +122,9 @@
     head += request.headers;
     head += names.deadline + ": " + std::to_string(std::max<std::int64_t>(timeLeft.count(), 1)) + "\r\n";
     head += names.expectedIdentity + ": " + identity + "\r\n";
+    if (!request.organisation.empty()) {
+        head += names.organisation + ": " + request.organisation + "\r\n";
+    }
     if (request.hasBody || !request.body->empty()) {
         head += "Content-Length: " + std::to_string(request.body->size()) + "\r\n";
     }
@@ -113,7 +137,7 @@
     answer.status = message.result_int();
     answer.reason = text(message.reason());
     answer.headers
-        = endToEndHeaders(message, [&](auto name) { return equals(name, names.load) || equals(name, names.notRun); });
+        = endToEndHeaders(message, [&](auto name) { return !equals(name, names.load) && !equals(name, names.notRun); });
     if (headOnly) {
         answer.contentLength = text(message[http::field::content_length]);
     }
--- a/src/gateway/httptext.h
+++ b/src/gateway/httptext.h
@@ -4,6 +4,7 @@
 #include "laburnumspar/gateway.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,9 @@
     std::string target;
     std::string host;
     std::string headers; ///< header lines that are forwarded unchanged
+    std::string identityHeaders; ///< those about an organisation, forwarded if the fleet serves no organisations
+    std::optional<KeyDigest> key; ///< of the only key in the headers, if it is valid
+    std::string organisation; ///< named to the upstream; empty: none
     std::shared_ptr<const MessageBody> body = std::make_shared<MessageBody>(); ///< shared by all attempts
     bool hasBody = false; ///< the caller has sent a body, which may be empty
     TimePoint arrived;
--- a/src/gateway/statedump.cpp
+++ b/src/gateway/statedump.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t DumpedOrganisations = 20;
+
 json::array dumpInstances(const InstanceGroup &group, TimePoint now)
 {
     json::array instances;
@@ -38,10 +40,26 @@
     return services;
 }
 
+json::array dumpOrganisations(const QuotaLedger &quotas, TimePoint now)
+{
+    json::array organisations;
+    for (const auto &it : quotas.largest(DumpedOrganisations, now)) {
+        organisations.push_back({{"name", it.name},
+                                 {"share", it.share},
+                                 {"tokens", it.tokens},
+                                 {"requests_per_second", it.demand},
+                                 {"contended", it.contended}});
+    }
+    return organisations;
+}
+
 } // namespace
 
-std::string
-dumpState(const InstanceGroup &group, ServiceRegistry &serviceRegistry, const StoreFollower &follower, TimePoint now)
+std::string dumpState(const InstanceGroup &group,
+                      ServiceRegistry &serviceRegistry,
+                      const QuotaLedger &quotas,
+                      const StoreFollower &follower,
+                      TimePoint now)
 {
     const auto &self = group.self();
     return json::serialize(json::object{{"ip", self.ip},
@@ -51,6 +69,7 @@
                                         {"store_revision", toString(follower.mirror().newestRevision())},
                                         {"store_age_ms", follower.storeAge(now).count()},
                                         {"instances", dumpInstances(group, now)},
+                                        {"organisations", dumpOrganisations(quotas, now)},
                                         {"services", dumpServices(serviceRegistry, now)}});
 }
 
--- a/src/gateway/storecopy.cpp
+++ b/src/gateway/storecopy.cpp
@@ -398,13 +398,18 @@
 void StoreCopy::useRoutes(const std::shared_ptr<const RouteTable> &table, const StoreItem &item)
 {
     const bool newer = m_serviceRegistry.applyRoutes(table);
+    const auto *organisations = table->organisations();
     if (newer) {
         m_routesItem = item;
         ++m_routesCount;
     }
     logEvent(LogLevel::Info,
              newer ? "routes.applied" : "routes.ignored",
-             {{"version", table->version()}, {"routes", table->routes().size()}, {"revision", item.revision.number}});
+             {{"version", table->version()},
+              {"routes", table->routes().size()},
+              {"organisations", organisations != nullptr ? organisations->organisations().size() : 0},
+              {"keys", organisations != nullptr ? organisations->keyCount() : 0},
+              {"revision", item.revision.number}});
 }
 
 /// Uses the routes that another instance uses, if they are newer than those in its copy.
--- a/src/instancegroup.cpp
+++ b/src/instancegroup.cpp
@@ -93,6 +93,7 @@
             member.status.fleetStoreAgeMs = known.fleetStoreAgeMs;
             member.status.storeDigest = known.storeDigest;
             member.status.load = known.load;
+            member.status.requestRate = known.requestRate;
         }
     }
 }
--- a/src/routetable.cpp
+++ b/src/routetable.cpp
@@ -49,6 +49,15 @@
     return nullptr;
 }
 
+Access RouteTable::access(const Route &route, const std::optional<KeyDigest> &key) const
+{
+    if (!m_organisations) {
+        return {};
+    }
+    const auto *organisation = key ? m_organisations->find(*key) : nullptr;
+    return {route.isPublic || organisation != nullptr, organisation};
+}
+
 RouteTable::Builder::Builder(std::uint64_t version)
 {
     m_table.m_version = version;
@@ -72,6 +81,12 @@
     return *this;
 }
 
+RouteTable::Builder &RouteTable::Builder::organisations(OrganisationTable organisations)
+{
+    m_table.m_organisations = std::move(organisations);
+    return *this;
+}
+
 std::shared_ptr<const RouteTable> RouteTable::Builder::build()
 {
     m_table.m_index.reserve(m_table.m_routes.size());
--- a/tests/callerserverfixture.h
+++ b/tests/callerserverfixture.h
@@ -33,7 +33,7 @@
                  [this](HttpRequest request, CancellationPtr) {
                      return answerAfter(secondAnswer, std::move(request), Milliseconds(0));
                  })
-        , forwarder(context, serviceRegistry, headers, metrics, memory)
+        , forwarder(context, serviceRegistry, quotas, headers, metrics, memory)
         , callers(context, callerAddress, forwarder, serviceRegistry, headers, memory)
     {
         first.start();
@@ -125,6 +125,7 @@
     CancellationPtr firstCancellation; ///< of the last request to the first upstream
     HttpServer first;
     HttpServer second;
+    QuotaLedger quotas{"10.1.0.1", {}, Clock::now()};
     Forwarder forwarder;
     CallerServer callers;
     std::optional<http::response<http::string_body>> answer;
--- a/tests/routingsupport.h
+++ b/tests/routingsupport.h
@@ -9,7 +9,7 @@
 namespace laburnumspar::detail {
 
 inline const ForwardingHeaders headers{
-    "X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Rate", "X-Leaving"};
+    "X-Id", "X-Left", "X-Own", "X-For", "X-Load", "X-Not-Run", "X-Rate", "X-Leaving", "X-Key", "X-Organisation"};
 
 /// Routes of which one takes all requests of "a.example".
 inline std::shared_ptr<const RouteTable> makeTable(bool idempotent, unsigned attempts = 1)
--- a/tests/test_deadlyrequests.cpp
+++ b/tests/test_deadlyrequests.cpp
@@ -54,7 +54,7 @@
 /// An instance in front of upstreams that crash. Each upstream runs four requests at a time.
 struct Fixture {
     Fixture()
-        : forwarder(context, serviceRegistry, headers, metrics, memory)
+        : forwarder(context, serviceRegistry, quotas, headers, metrics, memory)
     {
         serviceRegistry.divideRetryReserve(1);
         serviceRegistry.applyRoutes(makeTable(true, 4));
@@ -113,6 +113,7 @@
     MetricsRegistry metrics;
     ServiceRegistry serviceRegistry{"palermo", {}, 1};
     std::vector<std::unique_ptr<CrashingUpstream>> upstreams;
+    QuotaLedger quotas{"10.1.0.1", {}, Clock::now()};
     Forwarder forwarder;
     std::map<std::string, CallerAnswer> answers;
 };
--- a/tests/test_groupmessages.cpp
+++ b/tests/test_groupmessages.cpp
@@ -19,7 +19,7 @@
 GroupHeartbeat makeHeartbeat()
 {
     GroupHeartbeat heartbeat;
-    heartbeat.sender = {"10.1.0.7", "palermo", 42, InstanceRole::Active, 200, 17, {2, 99}, 1200, 300, 0xabcd};
+    heartbeat.sender = {"10.1.0.7", "palermo", 42, InstanceRole::Active, 200, 17, 321, {2, 99}, 1200, 300, 0xabcd};
     heartbeat.replyRequested = true;
     KnownInstance known;
     known.status = {"10.2.0.1", "catania", 41, InstanceRole::Spare, 500};
@@ -31,6 +31,7 @@
     heartbeat.suspects.push_back(
         {0x1122334455667788, Milliseconds(40), {{0x99aabbccddeeff00, Milliseconds(30), true}}});
     heartbeat.suspects.push_back({5, std::nullopt, {{6, Milliseconds(31'000), false}, {7, Milliseconds(20), false}}});
+    heartbeat.quotas.push_back({0x0102030405060708, 12.5, 3});
     return heartbeat;
 }
 
@@ -107,9 +108,9 @@
 /// The heartbeat of makeHeartbeat().
 Message heartbeatMessage()
 {
-    Message message{0x4c424735, {}, [](const Bytes &bytes) { decodeHeartbeat(bytes, zones); }};
+    Message message{0x4c424736, {}, [](const Bytes &bytes) { decodeHeartbeat(bytes, zones); }};
     message.add(wire::instance::All, {0x0a010007U, 2U, 42U, 2U, 200U});
-    message.add(wire::sender::All, {17U, 2U, 99U, 1200U, 300U, 0xabcdU, 1U});
+    message.add(wire::sender::All, {17U, 321U, 2U, 99U, 1200U, 300U, 0xabcdU, 1U});
     message.add(wire::known::Count, 1U);
     message.add(wire::instance::All, {0x0a020001U, 0U, 41U, 1U, 500U});
     message.add(wire::known::Age, 700U);
@@ -124,6 +125,8 @@
     message.add(wire::suspect::All, {5U, 0xffffU, 2U});
     message.add(wire::crash::All, {6U, 31'000U, 0U});
     message.add(wire::crash::All, {7U, 20U, 0U});
+    message.add(wire::quota::Count, 1U);
+    message.add(wire::quota::All, {0x0102030405060708U, 12'500U, 3U});
     return message;
 }
 
@@ -271,6 +274,11 @@
     BOOST_REQUIRE(heartbeat.suspects[1].crashes.size() == 2U);
     BOOST_TEST(heartbeat.suspects[1].crashes[0].age.count() == 31'000);
     BOOST_TEST(!heartbeat.suspects[1].crashes[1].refuted);
+    BOOST_TEST(heartbeat.sender.requestRate == 321);
+    BOOST_REQUIRE(heartbeat.quotas.size() == 1U);
+    BOOST_TEST(heartbeat.quotas[0].organisation == 0x0102030405060708U);
+    BOOST_TEST(heartbeat.quotas[0].demand == 12.5);
+    BOOST_TEST(heartbeat.quotas[0].drawn == 3U);
 }
 
 // Guards against datagrams that are fragmented because they exceed the usual Ethernet frame.
--- a/tests/test_narrowlinks.cpp
+++ b/tests/test_narrowlinks.cpp
@@ -72,7 +72,8 @@
     RawUpstream second{context, secondAddress, "X-Id"};
     MetricsRegistry metrics;
     ServiceRegistry serviceRegistry{"palermo", {}, 1};
-    Forwarder forwarder{context, serviceRegistry, headers, metrics, memory};
+    QuotaLedger quotas{"10.1.0.1", {}, Clock::now()};
+    Forwarder forwarder{context, serviceRegistry, quotas, headers, metrics, memory};
     CallerServer callers{context, callerAddress, forwarder, serviceRegistry, headers, memory};
 };
 
--- a/tests/test_platformadapter.cpp
+++ b/tests/test_platformadapter.cpp
@@ -165,6 +165,47 @@
     BOOST_TEST(look->targets[1].weight == 10);
 }
 
+std::string withOrganisations(const std::string &rows)
+{
+    const auto end = configText.rfind('}');
+    return configText.substr(0, end)
+        + R"(,"tenants":{"columns":["name","api_keys","priority","rate_per_s","burst"],"rows":[)" + rows + "]}}";
+}
+
+// Guards against keys, priorities and quotas that get lost, and against deployments without organisations that need
+// keys.
+BOOST_AUTO_TEST_CASE(organisationsAreDecoded)
+{
+    const auto without = std::get<std::shared_ptr<const RouteTable>>(decode("op/config", configText));
+    BOOST_TEST(without->organisations() == nullptr);
+    const auto text = withOrganisations(R"(["acme",["k1","k2"],0,429,12.5],["idle",null,null,null,null])");
+    const auto table = std::get<std::shared_ptr<const RouteTable>>(decode("op/config", text));
+    BOOST_REQUIRE(table->organisations() != nullptr);
+    BOOST_TEST(table->organisations()->organisations().size() == 2U);
+    const auto *acme = table->organisations()->find(digestOfKey("k2"));
+    BOOST_REQUIRE(acme != nullptr);
+    BOOST_TEST(acme->name == "acme");
+    BOOST_TEST(acme->priority.value() == 0U);
+    BOOST_TEST(acme->quota.rate == 429);
+    BOOST_TEST(acme->quota.burst == 12.5);
+    BOOST_TEST(!table->organisations()->organisations()[1].quota.isLimited());
+}
+
+// Guards against a configuration of which a part is used although organisations share a key, and against names that
+// could add headers to a request.
+BOOST_AUTO_TEST_CASE(invalidOrganisationsInvalidateTheConfiguration)
+{
+    for (const auto *rows : {R"(["a",["k1"],0,1,1],["b",["k1"],0,1,1])",
+                             R"(["a",[""],0,1,1])",
+                             R"(["a",[7],0,1,1])",
+                             R"(["a","k1",0,1,1])",
+                             R"(["a b",["k1"],0,1,1])",
+                             R"(["",["k1"],0,1,1])",
+                             R"(["a",["k1"],0,-1,1])"}) {
+        BOOST_CHECK_THROW(decode("op/config", withOrganisations(rows)), Error);
+    }
+}
+
 // Guards against an invalid configuration that replaces a valid one.
 BOOST_AUTO_TEST_CASE(invalidConfigurationsAreRejected)
 {
--- a/tests/test_requestframing.cpp
+++ b/tests/test_requestframing.cpp
@@ -192,7 +192,8 @@
     HttpServer upstream{context, upstreamAddress, {}, [this](HttpRequest request, CancellationPtr) {
                             return answer(std::move(request));
                         }};
-    Forwarder forwarder{context, serviceRegistry, headers, metrics, memory};
+    QuotaLedger quotas{"10.1.0.1", {}, Clock::now()};
+    Forwarder forwarder{context, serviceRegistry, quotas, headers, metrics, memory};
     CallerServer callers{context, callerAddress, forwarder, serviceRegistry, headers, memory};
 };
 
