An answer with an invalid status is no answer

Cause: an upstream in trouble may send a status such as 000. The gateway took every status below 200 for an interim answer and waited for another one until the deadline of the caller; it passed on 600 and above. The product's own interface passed on each of them, also 000. Change: only 200 to 599 ends an exchange and only 100 to 199 is followed by another answer (httpstatus.h); all others end the attempt as lost, may have run. The same in replies of the store and of other instances. Measured: the new cases of test_upstreamconnections and test_upstreamclient failed before (no result within 20 s; Answered with status 000) and pass now, as does the new case of test_httpchannel.

--- a/src/gateway/httpchannel.cpp
+++ b/src/gateway/httpchannel.cpp
@@ -1,5 +1,6 @@
 #include "gateway/httpchannel.h"
 
+#include "net/httpstatus.h"
 #include "net/messagereader.h"
 
 #include <sys/socket.h>
@@ -76,6 +77,10 @@
         co_return failedReply(readError, parser.is_header_done());
     }
     auto &response = parser.get();
+    if (!isFinalStatus(response.result_int())) {
+        co_return ChannelReply{
+            0, {}, {}, ReplyFailure::Malformed, "invalid HTTP status " + std::to_string(response.result_int())};
+    }
     ChannelReply reply;
     reply.status = response.result_int();
     reply.body = std::move(response.body());
--- a/src/gateway/upstreamconnections.cpp
+++ b/src/gateway/upstreamconnections.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstreamconnections.h"
 
+#include "net/httpstatus.h"
 #include "net/messagereader.h"
 
 #include <netinet/tcp.h>
@@ -257,7 +258,11 @@
     {
         const auto &message = m_parser->get();
         const auto id = message[m_state->names.requestId];
-        const bool informational = message.result_int() < 200;
+        const bool informational = isInterimStatus(message.result_int());
+        if (!informational && !isFinalStatus(message.result_int())) {
+            fail(ExchangeOutcome::Lost, "answer with an invalid status");
+            return;
+        }
         if (informational || (!id.empty() && id != m_request.requestId)) {
             // An interim answer, or a second answer to an earlier request; the answer to this request follows.
             if (!informational && !m_parser->keep_alive()) {
--- a/src/net/upstreamclient.cpp
+++ b/src/net/upstreamclient.cpp
@@ -1,6 +1,7 @@
 #include "net/upstreamclient.h"
 
 #include "laburnumspar/errors.h"
+#include "net/httpstatus.h"
 
 #include <sys/socket.h>
 
@@ -229,6 +230,9 @@
     const bool hasLength = parser.get().has_content_length() || parser.get().chunked();
     const bool keepAlive = parser.get().keep_alive() && buf.size() == 0;
     auto response = parser.release();
+    if (!isFinalStatus(response.result_int())) {
+        co_return AttemptResult{Outcome::MayHaveRun, Reason::WrongAnswer, {}};
+    }
     AttemptResult result{Outcome::Answered, Reason::None, m_dialect.decode(fromBeast(response), requestId)};
     result.reason = result.answer.fault;
     if (!hasLength) {
--- a/tests/test_httpchannel.cpp
+++ b/tests/test_httpchannel.cpp
@@ -123,6 +123,7 @@
         {head + "Content-Length: 16777217\r\n\r\n", true, ReplyFailure::TooLarge},
         {chunks, true, ReplyFailure::TooLarge},
         {head + "X-Long: " + std::string(200'000, 'x') + "\r\n\r\n", true, ReplyFailure::TooLarge},
+        {"HTTP/1.1 000 Unknown\r\nContent-Length: 0\r\n\r\n", true, ReplyFailure::Malformed},
         {"220 mail.example ESMTP\r\n\r\n", true, ReplyFailure::Malformed},
         {head + "Content-Length: many\r\n\r\n", true, ReplyFailure::Malformed},
         {head + "Content-Length: 10\r\n\r\n{", true, ReplyFailure::TooSlow},
--- a/tests/test_upstreamclient.cpp
+++ b/tests/test_upstreamclient.cpp
@@ -168,6 +168,25 @@
     }
 }
 
+// Guards against an answer of an upstream in trouble whose status is none, such as 000, and that is passed on.
+BOOST_FIXTURE_TEST_CASE(answersWithAnInvalidStatusAreNotPassedOn, Fixture)
+{
+    for (const std::string status : {"000", "099", "100", "600", "999", "20", "2000"}) {
+        upstream.script = [&](RawUpstream &self, tcp::socket &socket, std::string id) -> awaitable<void> {
+            const auto valid = answerTo(id);
+            const auto text = id == "r1" ? valid : "HTTP/1.1 " + status + valid.substr(12);
+            co_await self.send(socket, text);
+        };
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            BOOST_TEST((call("r1").outcome == Outcome::Answered));
+            const auto result = call("r2");
+            BOOST_TEST((result.outcome == Outcome::MayHaveRun));
+            BOOST_TEST((result.reason == Reason::WrongAnswer || result.reason == Reason::ConnectionLost));
+        }
+    }
+}
+
 // Guards against memory that fills, and processor time that is spent until the deadline, with bytes that are no answer,
 // which an upstream in trouble sends until its connection is closed.
 BOOST_FIXTURE_TEST_CASE(endlessAnswersAreCutOff, Fixture)
--- a/tests/test_upstreamconnections.cpp
+++ b/tests/test_upstreamconnections.cpp
@@ -113,6 +113,28 @@
 
 } // namespace
 
+// Guards against an answer of an upstream in trouble whose status is none: 000 was taken for an interim answer, so that
+// the caller waited for another one until its deadline, and 600 was passed on.
+BOOST_FIXTURE_TEST_CASE(answersWithAnInvalidStatusAreLost, Fixture)
+{
+    for (const std::string status : {"000", "099", "600", "999", "20", "2000"}) {
+        for (const std::string before : {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}) {
+            upstream.script = [&](RawUpstream &self, tcp::socket &socket, std::string id) -> awaitable<void> {
+                const auto valid = answerTo(id, "x");
+                const auto text = id == "r1" ? valid : before + "HTTP/1.1 " + status + valid.substr(12);
+                co_await self.send(socket, text);
+            };
+            BOOST_TEST_CONTEXT("status " << status << (before.empty() ? "" : " after an interim answer"))
+            {
+                BOOST_TEST((exchange("r1").outcome == ExchangeOutcome::Answered));
+                const auto begin = Clock::now();
+                BOOST_TEST((exchange("r2").outcome == ExchangeOutcome::Lost));
+                BOOST_TEST((Clock::now() - begin < 5s));
+            }
+        }
+    }
+}
+
 // Guards against an answer that is passed on twice: the second copy of an earlier answer arrives where the answer to
 // the next request is expected.
 BOOST_FIXTURE_TEST_CASE(secondCopyOfAnEarlierAnswerIsSkipped, Fixture)
