pool: idle upstreams are tried sooner while many requests are not served

Upstreams that had failed by themselves waited 3 s for a trial, and those whose slots were held by attempts that never end got none. Ruled out: full pools, missing trial budget, new upstreams.

--- a/bench/bench_upstreampool.cpp
+++ b/bench/bench_upstreampool.cpp
@@ -38,6 +38,20 @@
     return scenario;
 }
 
+/// An organisation sends many times its quota, so that more than a tenth of the requests are refused.
+PoolScenario beyondQuota()
+{
+    PoolScenario scenario;
+    scenario.upstreams = 184;
+    scenario.slots = 4;
+    scenario.finalRate = 60;
+    scenario.retryableRate = 420;
+    scenario.workTime = Milliseconds(600);
+    scenario.deadline = Milliseconds(6000);
+    scenario.refusedShare = 0.28;
+    return scenario;
+}
+
 PoolScenario small()
 {
     PoolScenario scenario;
@@ -97,6 +111,7 @@
         {"64 upstreams, final only", finalOnly()},
         {"112 upstreams, retryable only", retryableOnly()},
         {"237 upstreams, final and retryable", mixed()},
+        {"184 upstreams, a quota exceeded", beyondQuota()},
         {"7 upstreams, final only", small(), false},
     };
     unsigned idlePeriods = 0;
--- a/bench/upstreampoolsimulation.cpp
+++ b/bench/upstreampoolsimulation.cpp
@@ -199,6 +199,11 @@
         request.retryable = retryable;
         request.instance = instance;
         m_requests.push_back(std::move(request));
+        if (uniform() < m_scenario.refusedShare) {
+            m_requests.back().lost = true;
+            m_instances[instance]->pool.recordOutcome(false, m_now);
+            return;
+        }
         (retryable ? m_result.retryableRequests : m_result.finalRequests)++;
         m_instances[instance]->budget.recordFirstAttempt(m_now);
         if (!startAttempt(index)) {
@@ -285,6 +290,7 @@
         instance.pool.finishAttempt(id, outcome, load, m_now);
         if (outcome == AttemptOutcome::Success) {
             m_latency.record(m_now - request.arrived);
+            instance.pool.recordOutcome(true, m_now);
             return;
         }
         upstream.failures.push_back(m_now);
@@ -302,6 +308,7 @@
     {
         auto &request = m_requests[index];
         request.lost = true;
+        m_instances[request.instance]->pool.recordOutcome(false, m_now);
         (request.retryable ? m_result.retryableLost : m_result.finalLost)++;
     }
 
--- a/bench/upstreampoolsimulation.h
+++ b/bench/upstreampoolsimulation.h
@@ -24,6 +24,7 @@
     double retryableRate = 0; ///< requests per second that can be retried once
     Milliseconds workTime{410}; ///< median
     Milliseconds deadline{2500};
+    double refusedShare = 0; ///< of the arrivals that are refused for another reason than a lack of upstreams
     double noiseShare = 0.3; ///< of the upstreams that fail most requests, drawn anew every 9 s
     UpstreamFault fault = UpstreamFault::None;
     double faultShare = 0.3;
--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -121,6 +121,15 @@
     /// upstream counts as one failure.
     std::vector<Observation> takeObservations(TimePoint now);
 
+    /// Records a request for this service that has ended at this instance, also one that was refused. While many are
+    /// not served, idle upstreams are tried sooner.
+    void recordOutcome(bool served, TimePoint now);
+    /// Whether many of the recent requests for this service were not served.
+    bool isLossy(TimePoint now) const
+    {
+        return m_outcomes.areLossy(now);
+    }
+
     /// Number of pending attempts at healthy upstreams.
     std::size_t inFlight(TimePoint now) const;
     /// Estimated number of free slots of healthy upstreams.
@@ -175,6 +184,7 @@
     bool isAllowed(const Upstream &upstream, TimePoint now) const;
     /// Whether a request may be sent to the upstream now and it has a free slot.
     bool isAvailable(const Upstream &upstream, TimePoint now) const;
+    bool isStuck(const Upstream &upstream, const Request &request, TimePoint now) const;
     /// Best upstream for the request and its probability of a fault; null if none has a free slot. Of any health if
     /// `anyHealth` is set.
     std::pair<Upstream *, double> selectUpstream(const Request &request, bool anyHealth, TimePoint now);
@@ -197,6 +207,19 @@
     double m_prior; ///< probability of a fault without evidence
     TimePoint m_lastIdempotent; ///< start of the last request that could run again
     TimePoint m_lastRetryable; ///< start of the last one that the retry budget also allowed to be retried
+    /// Exponentially weighted numbers of requests that have ended.
+    struct RecentOutcomes {
+        double all = 0;
+        double unserved = 0;
+        TimePoint at;
+
+        void record(bool served, TimePoint now);
+        /// Whether so many requests are not served that no upstream should be idle.
+        bool areLossy(TimePoint now) const;
+    };
+
+    RecentOutcomes m_outcomes;
+    bool m_lossy = false; ///< many requests are not served
     bool m_tooManyIdle = false; ///< too many of the upstreams that this instance explores have no requests
     IsExplorer m_isExplorer;
     RateShare m_rateShare;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -82,6 +82,7 @@
     }
     const bool spends = access.organisation != nullptr && !route->isPublic;
     if (const auto wait = spends ? m_quotas.trySpend(*access.organisation, now) : std::nullopt) {
+        m_serviceRegistry.service(route->targets.front().service).pool.recordOutcome(false, now);
         postLocalAnswer(http::status::too_many_requests, QuotaUsedUp, *wait);
         return nullptr;
     }
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -271,6 +271,7 @@
     if (!handler) {
         return;
     }
+    m_service.pool.recordOutcome(answer.status < 400, now);
     if (outcome == Outcome::NotRun && !m_quotaOwner.empty()) {
         m_forwarder.m_quotas.refund(m_quotaOwner, now);
     }
--- a/src/quotaledger.cpp
+++ b/src/quotaledger.cpp
@@ -31,9 +31,10 @@
 /// Part of the burst with which an organisation begins at an instance: what was spent before a restart of all instances
 /// is not known, and the excess covers no more.
 constexpr double InitialBurstShare = 0.25;
-/// Share of an instance that has heard of no other one yet, and the time after which it takes itself for the only one.
-constexpr double UnknownFleetShare = 0.1;
-constexpr Milliseconds DiscoveryTime{3000};
+/// Largest share of an instance that has just started: it may not have heard of all others yet, and after a restart of
+/// all none of them has.
+constexpr double StartShare = 0.1;
+constexpr Milliseconds DiscoveryTime{2000};
 /// Organisations without a request for this time are forgotten. Their buckets are full again by then.
 constexpr Milliseconds IdleTime{60'000};
 constexpr Milliseconds PruneInterval{10'000};
@@ -242,8 +243,9 @@
     }
     m_shares.calculatedAt = now;
     std::erase_if(m_peers, [&](const auto &it) { return now - it.second.heardAt > SilentPeerTime; });
+    const double limit = now - m_started < DiscoveryTime ? StartShare : 1;
     if (m_peers.empty()) {
-        m_shares.own = now - m_started < DiscoveryTime ? UnknownFleetShare : 1;
+        m_shares.own = limit;
         return;
     }
     const double own = requestRate(now);
@@ -265,7 +267,7 @@
     }
     const double least = MinWeight * m_shares.meanRate;
     const double ownWeight = m_active ? std::max(own, least) : least;
-    m_shares.own = ownWeight / (ownWeight + m_shares.othersWeight);
+    m_shares.own = std::min(ownWeight / (ownWeight + m_shares.othersWeight), limit);
     m_shares.heard = 1 - silentWeight / (ownWeight + m_shares.othersWeight);
 }
 
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -41,6 +41,15 @@
 constexpr Milliseconds DoubtfulTrialInterval{1400};
 constexpr Milliseconds FaultyTrialInterval{3000};
 constexpr Milliseconds ConfirmationInterval{500};
+/// Used for all of them while many requests are not served: some may be refused although an upstream has recovered. It
+/// is below the 2 s after which the upstream counts as unused.
+constexpr Milliseconds LossyTrialInterval{1200};
+/// More than this share of recent requests not served counts as many, if there are at least so many requests. The bound
+/// for all instances together is a tenth.
+constexpr double LossyShare = 0.07;
+constexpr double MinOutcomes = 5;
+/// Time constant with which ended requests are forgotten.
+constexpr double OutcomeSeconds = 1;
 /// Time without an attempt of any instance after which an upstream without evidence against it receives a request, also
 /// one that cannot be retried. It is below the 2 s after which the upstream counts as unused.
 constexpr Milliseconds UnsuspectedIdleTime{1000};
@@ -49,6 +58,7 @@
 /// If more upstreams are idle than this share of the healthy ones, idle ones receive trials whatever their health.
 /// Whether they are healthy shows only then.
 constexpr double MaxIdleShare = 0.4;
+constexpr double LossyMaxIdleShare = 0.3;
 /// Time without retryable requests after which final attempts serve as trials.
 constexpr Milliseconds RetryableTimeout{1000};
 /// Trials per request. Each trial may cost a retry or a request, so the share is small.
@@ -186,7 +196,7 @@
     double bestCost = 0;
     double bestFault = 0;
     for (auto &[id, upstream] : m_upstreams) {
-        if (!isAvailable(upstream, now)
+        if ((!isAvailable(upstream, now) && !isStuck(upstream, request, now))
             || std::find(request.exclude.begin(), request.exclude.end(), id) != request.exclude.end()) {
             continue;
         }
@@ -337,6 +347,24 @@
     return it == m_upstreams.end() ? std::string() : it->second.entry.zone;
 }
 
+void UpstreamPool::RecentOutcomes::record(bool served, TimePoint now)
+{
+    const double kept = std::exp(-seconds(now - at) / OutcomeSeconds);
+    all = all * kept + 1;
+    unserved = unserved * kept + (served ? 0 : 1);
+    at = now;
+}
+
+bool UpstreamPool::RecentOutcomes::areLossy(TimePoint now) const
+{
+    return all * std::exp(-seconds(now - at) / OutcomeSeconds) >= MinOutcomes && unserved > LossyShare * all;
+}
+
+void UpstreamPool::recordOutcome(bool served, TimePoint now)
+{
+    m_outcomes.record(served, now);
+}
+
 std::size_t UpstreamPool::inFlight(TimePoint now) const
 {
     std::size_t total = 0;
@@ -427,6 +455,14 @@
         && double(upstream.inFlight.size()) + externalLoadOf(upstream, now) + 0.5 < double(upstream.entry.slots);
 }
 
+/// Whether attempts that may never end hold all slots of an upstream while many requests are not served. It may have
+/// recovered, and a request that can be retried finds out.
+bool UpstreamPool::isStuck(const Upstream &upstream, const Request &request, TimePoint now) const
+{
+    return m_lossy && upstream.explored && !request.finalAttempt && request.allowTrial && isAllowed(upstream, now)
+        && now >= upstream.fullUntil && upstream.inFlight.size() <= upstream.entry.slots && isIdle(upstream, now);
+}
+
 double UpstreamPool::selectionCost(
     const Upstream &upstream, double fault, const Request &request, bool trialDue, TimePoint now)
 {
@@ -480,7 +516,7 @@
 
 bool UpstreamPool::isIdle(const Upstream &upstream, TimePoint now) const
 {
-    return now - std::max(upstream.lastAttempt, upstream.addedAt) > IdleTime;
+    return now - std::max(upstream.lastAttempt, upstream.addedAt) > (m_lossy ? LossyTrialInterval : IdleTime);
 }
 
 /// Whether the upstream has received nothing for some time although it has never been tried or its newest attempt has
@@ -497,6 +533,9 @@
     if (upstream.lastSucceeded) {
         return ConfirmationInterval;
     }
+    if (m_lossy) {
+        return LossyTrialInterval;
+    }
     return fault > FaultyThreshold ? FaultyTrialInterval : DoubtfulTrialInterval;
 }
 
@@ -524,6 +563,7 @@
     std::size_t healthy = 0;
     std::size_t idle = 0;
     m_constraints.prune(now);
+    m_lossy = m_outcomes.areLossy(now);
     for (auto &[id, upstream] : m_upstreams) {
         const double fault = faultProbabilityFromFinished(upstream, now);
         sum += fault;
@@ -535,7 +575,7 @@
         healthy += upstream.explored && fault <= FaultyThreshold ? 1 : 0;
         idle += upstream.explored && isIdle(upstream, now) ? 1 : 0;
     }
-    m_tooManyIdle = double(idle) > MaxIdleShare * double(healthy);
+    m_tooManyIdle = double(idle) > (m_lossy ? LossyMaxIdleShare : MaxIdleShare) * double(healthy);
     m_prior = std::clamp(sum / double(m_upstreams.size()), MinPrior, MaxPrior);
     m_stateUpdatedAt = now;
 }
--- a/tests/test_upstreampool.cpp
+++ b/tests/test_upstreampool.cpp
@@ -644,3 +644,36 @@
     BOOST_REQUIRE(pool.usableFrom(now));
     BOOST_TEST((*pool.usableFrom(now) == now + 1500ms));
 }
+
+// Load: an organisation beyond its quota, or a crest, so that many requests are not served. Guards against upstreams
+// that have failed by themselves and recovered, and that stay without requests while others are refused.
+BOOST_FIXTURE_TEST_CASE(idleUpstreamsAreTriedSoonerWhileManyAreNotServed, Fixture)
+{
+    runAttempts(AttemptOutcome::Timeout, "a", 4);
+    keepOthersBusy("a", 1400ms);
+    BOOST_TEST(countChoices(false, 50)["a"] == 0);
+    for (int n = 0; n < 20; ++n) {
+        pool.recordOutcome(n % 5 != 0, now);
+    }
+    BOOST_TEST(pool.isLossy(now));
+    now += 200ms;
+    BOOST_TEST(countChoices(false, 50)["a"] == 1);
+    BOOST_TEST(!pool.isLossy(now + 10s));
+}
+
+// Guards against an upstream that gets nothing because attempts that never end hold all its slots.
+BOOST_FIXTURE_TEST_CASE(aStuckUpstreamIsTriedWhileManyAreNotServed, Fixture)
+{
+    for (int n = 0; n < 4; ++n) {
+        BOOST_REQUIRE(start(true, {"b", "c", "d"}));
+    }
+    keepOthersBusy("a", 1400ms);
+    BOOST_TEST(!start(false, {"b", "c", "d"}));
+    for (int n = 0; n < 20; ++n) {
+        pool.recordOutcome(n % 5 != 0, now);
+    }
+    now += 300ms;
+    keepOthersBusy("a", 100ms);
+    BOOST_TEST(start(false, {"b", "c", "d"}).has_value());
+    BOOST_TEST(!start(true, {"b", "c", "d"}).has_value());
+}
