--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -83,7 +83,6 @@
     void refuseUntil(TimePoint until, std::string_view detail, TimePoint now);
     void giveUp(http::status status, std::string_view detail, TimePoint now);
     void answer(CallerAnswer answer, Outcome outcome, std::string_view detail, TimePoint now);
-    void recordCutOff(TimePoint now);
     void endAttempts(TimePoint now);
     void reportAttempt(
         const Attempt &attempt, AttemptOutcome outcome, unsigned status, std::string_view detail, TimePoint now) const;
--- a/src/gateway/forwardingattempts.cpp
+++ b/src/gateway/forwardingattempts.cpp
@@ -15,9 +15,6 @@
 /// Used instead of HedgeQuantile for an upstream whose fault probability exceeds SuspectFaultProbability.
 constexpr double SuspectHedgeQuantile = 0.75;
 constexpr double SuspectFaultProbability = 0.25;
-/// Used instead of both while many requests of the service are not served: hedges take slots from requests that wait,
-/// and the attempt that they replace mostly still runs.
-constexpr double LossyHedgeQuantile = 0.96;
 /// Interval at which a hedged attempt that could not be started is tried again, for example for lack of a free slot.
 constexpr Milliseconds HedgeRetryInterval{60};
 /// Hedged attempts are allowed only while the retry budget holds at least this many retries: a slow request is usually
@@ -111,7 +108,6 @@
     } else {
         finishAttempt(AttemptOutcome::Success, "");
         m_latency.record(now - attempt.started);
-        recordCutOff(now);
         answer(makeCallerAnswer(std::move(message), m_request.method == "HEAD", names), Outcome::Answered, "", now);
     }
     m_forwarder.dispatchQueued(m_service);
@@ -192,10 +188,8 @@
     if (!m_route.idempotent || m_runs >= m_route.attempts) {
         return;
     }
-    const double quantile = m_service.pool.isLossy(now) ? LossyHedgeQuantile
-        : faultProbability > SuspectFaultProbability    ? SuspectHedgeQuantile
-                                                        : HedgeQuantile;
-    m_hedgeTimer.expires_at(now + m_latency.quantile(quantile));
+    m_hedgeTimer.expires_at(
+        now + m_latency.quantile(faultProbability > SuspectFaultProbability ? SuspectHedgeQuantile : HedgeQuantile));
     m_hedgeTimer.async_wait([weak = weak_from_this()](error_code ec) {
         const auto self = weak.lock();
         if (!ec && self && self->m_handler) {
@@ -224,17 +218,6 @@
     });
 }
 
-/// Adds the attempts that an answered request no longer needs to the execution times of its route.
-void Forwarding::recordCutOff(TimePoint now)
-{
-    for (const auto &it : m_attempts) {
-        const auto took = now - it.started;
-        const double longer = m_latency.shareLongerThan(took);
-        const double ends = (1 - it.faultProbability) * longer;
-        m_latency.recordCutOff(took, ends / (ends + it.faultProbability));
-    }
-}
-
 void Forwarding::endAttempts(TimePoint now)
 {
     auto attempts = std::exchange(m_attempts, {});
