pool: a thin load stays at upstreams that are known to work

Change: an instance with fewer than 0.5 attempts a second for each healthy upstream that it explores does not spread its requests over all of them; one that joins a running service still gets a request. Ruled out: evidence that is exchanged too late, and a cost for upstreams that another instance explores (no change).

--- a/bench/bench_upstreampool.cpp
+++ b/bench/bench_upstreampool.cpp
@@ -1,6 +1,7 @@
 // Measures in virtual time what the selection of upstreams loses under faults, with several instances in front of one
 // service, and how often healthy upstreams are left without requests. Usage: bench_upstreampool [SEEDS], by default 5.
-// Exits with 1 if, in a service with many upstreams, healthy ones are left without requests while requests are lost.
+// Exits with 1 if, in a service with many upstreams, healthy ones are left without requests while requests are lost, or
+// if too many requests are lost where a thin load meets many upstreams.
 #include "upstreampoolsimulation.h"
 
 #include <cstdio>
@@ -50,6 +51,18 @@
     return scenario;
 }
 
+/// Many more upstreams than the load needs, so that each gets a request only every few seconds.
+PoolScenario thinLoad()
+{
+    PoolScenario scenario;
+    scenario.instancesPerZone = 4;
+    scenario.upstreams = 1200;
+    scenario.finalRate = 130;
+    scenario.workTime = Milliseconds(400);
+    scenario.noiseHangs = true;
+    return scenario;
+}
+
 /// An organisation sends many times its quota, so that more than a tenth of the requests are refused.
 PoolScenario beyondQuota()
 {
@@ -73,10 +86,15 @@
     return scenario;
 }
 
+/// Percentage of requests that may be lost under a thin load. Callers are served hardly worse than where each upstream
+/// is well known.
+constexpr double MaxThinLoadLost = 10;
+
 struct NamedService {
     const char *text;
     PoolScenario scenario;
-    /// With a handful of upstreams, a single idle one exceeds the limit, which is not always avoided yet.
+    /// With a handful of upstreams, a single idle one exceeds the limit, which is not always avoided yet. With a thin
+    /// load, most of them are idle.
     bool checked = true;
 };
 
@@ -124,10 +142,12 @@
         {"112 upstreams, retryable only", retryableOnly()},
         {"237 upstreams, final and retryable", mixed()},
         {"143 upstreams that hang, final only", hanging()},
+        {"1200 upstreams, thin load", thinLoad(), false},
         {"184 upstreams, a quota exceeded", beyondQuota()},
         {"7 upstreams, final only", small(), false},
     };
     unsigned idlePeriods = 0;
+    double thinLoadLost = 0;
     std::printf(
         "%-36s %-8s %9s %9s %8s %8s %6s\n", "service", "fault", "lost 1x %", "lost 2x %", "retry %", "trial %", "idle");
     for (const auto &service : services) {
@@ -136,6 +156,8 @@
             scenario.fault = fault.fault;
             const auto sum = runSeeds(scenario, seeds);
             idlePeriods += service.checked ? sum.idlePeriods : 0;
+            const bool thin = service.scenario.upstreams > service.scenario.finalRate + service.scenario.retryableRate;
+            thinLoadLost = std::max(thinLoadLost, thin ? percent(sum.finalLost, sum.finalRequests) : 0);
             std::printf("%-36s %-8s %9.2f %9.2f %8.1f %8.1f %6u\n",
                         service.text,
                         fault.text,
@@ -146,5 +168,5 @@
                         sum.idlePeriods);
         }
     }
-    return idlePeriods == 0 ? 0 : 1;
+    return idlePeriods == 0 && thinLoadLost <= MaxThinLoadLost ? 0 : 1;
 }
--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -220,6 +220,10 @@
 
     RecentOutcomes m_outcomes;
     bool m_lossy = false; ///< many requests are not served
+    TimePoint m_firstAddedAt; ///< when the first upstream was added
+    double m_starts = 0; ///< exponentially weighted number of attempts, of the last second
+    TimePoint m_startsAt;
+    bool m_thinLoad = false; ///< this instance has too few requests to use all upstreams that it explores
     bool m_tooManyIdle = false; ///< too many of the upstreams that this instance explores have no requests
     IsExplorer m_isExplorer;
     RateShare m_rateShare;
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -58,6 +58,11 @@
 /// If more upstreams are idle than this share of the healthy ones, idle ones receive trials whatever their health.
 /// Whether they are healthy shows only then.
 constexpr double MaxIdleShare = 0.4;
+/// With fewer attempts per second than this for each healthy upstream that an instance explores, it does not spread its
+/// requests over all of them: each would be used so rarely that nothing is known about it when the next request comes.
+constexpr double MinAttemptRate = 0.5;
+/// Upstreams that are added within this time after the first one were there before this instance.
+constexpr Milliseconds StartTime{8000};
 constexpr double LossyMaxIdleShare = 0.3;
 /// Time without retryable requests after which final attempts serve as trials.
 constexpr Milliseconds RetryableTimeout{1000};
@@ -129,6 +134,7 @@
         remove(entry.id);
         return;
     }
+    m_firstAddedAt = m_firstAddedAt == TimePoint() ? now : m_firstAddedAt;
     m_constraints.setProcess(entry.id, entry.startedAtMs);
     const auto [it, added] = m_upstreams.try_emplace(entry.id);
     auto &upstream = it->second;
@@ -168,6 +174,8 @@
         m_lastRetryable = request.allowTrial ? now : m_lastRetryable;
     }
     m_trialCredit = std::min(m_trialCredit + TrialShare, MaxTrialCredit);
+    m_starts = m_starts * std::exp(-seconds(now - m_startsAt)) + 1;
+    m_startsAt = now;
     auto [upstream, fault] = selectUpstream(request, false, now);
     if (upstream == nullptr && !hasHealthyUpstream(now)) {
         std::tie(upstream, fault) = selectUpstream(request, true, now);
@@ -485,7 +493,7 @@
         return cost + FaultCost * fault;
     }
     // Requests that can be retried are spread over all healthy upstreams, so that none of them stays idle.
-    const double idle = std::min(seconds(now - upstream.lastAttempt), MaxIdleSeconds);
+    const double idle = m_thinLoad ? 0 : std::min(seconds(now - upstream.lastAttempt), MaxIdleSeconds);
     return cost + FaultCost * fault - idle * IdleBonusPerSecond;
 }
 
@@ -524,7 +532,10 @@
 bool UpstreamPool::isUnsuspectedAndIdle(const Upstream &upstream, double fault, TimePoint now) const
 {
     const bool suspected = upstream.lastAttempt != TimePoint() && !upstream.lastSucceeded;
-    return !suspected && upstream.inFlight.empty() && fault > PreferredThreshold && fault <= FinalAttemptFaultyThreshold
+    // One that has joined a running service gets a request in any case.
+    const bool joined = upstream.lastAttempt == TimePoint() && upstream.addedAt - m_firstAddedAt > StartTime;
+    return !suspected && (!m_thinLoad || joined) && upstream.inFlight.empty() && fault > PreferredThreshold
+        && fault <= FinalAttemptFaultyThreshold
         && now - std::max(upstream.lastAttempt, upstream.addedAt) > UnsuspectedIdleTime;
 }
 
@@ -575,7 +586,8 @@
         healthy += upstream.explored && fault <= FaultyThreshold ? 1 : 0;
         idle += upstream.explored && isIdle(upstream, now) ? 1 : 0;
     }
-    m_tooManyIdle = double(idle) > (m_lossy ? LossyMaxIdleShare : MaxIdleShare) * double(healthy);
+    m_thinLoad = m_starts * std::exp(-seconds(now - m_startsAt)) < MinAttemptRate * double(healthy);
+    m_tooManyIdle = !m_thinLoad && double(idle) > (m_lossy ? LossyMaxIdleShare : MaxIdleShare) * double(healthy);
     m_prior = std::clamp(sum / double(m_upstreams.size()), MinPrior, MaxPrior);
     m_stateUpdatedAt = now;
 }
--- a/tests/test_upstreampool.cpp
+++ b/tests/test_upstreampool.cpp
@@ -677,3 +677,33 @@
     BOOST_TEST(start(false, {"b", "c", "d"}).has_value());
     BOOST_TEST(!start(true, {"b", "c", "d"}).has_value());
 }
+
+// Load: far more upstreams than requests, so that each upstream would get one every few seconds. Guards against
+// spreading them over upstreams of which nothing is known, and against one that joins later and gets nothing.
+BOOST_AUTO_TEST_CASE(aThinLoadStaysAtKnownUpstreams)
+{
+    TimePoint now{1000s};
+    const LatencyModel latency(100ms);
+    UpstreamPool pool("palermo", 1);
+    for (int n = 0; n < 200; ++n) {
+        pool.put(makeUpstream("u" + std::to_string(n)), now);
+    }
+    std::map<std::string, int> counts;
+    const auto request = [&] {
+        const auto choice = pool.startAttempt({&latency, true, true, {}}, now);
+        BOOST_REQUIRE(choice);
+        ++counts[choice->upstream.id];
+        now += 50ms;
+        pool.finishAttempt(choice->attempt, AttemptOutcome::Success, std::nullopt, now);
+        now += 50ms;
+    };
+    for (int n = 0; n < 100; ++n) {
+        request();
+    }
+    BOOST_TEST(counts.size() <= 15U);
+    pool.put(makeUpstream("joined"), now);
+    for (int n = 0; n < 30; ++n) {
+        request();
+    }
+    BOOST_TEST(counts["joined"] >= 1);
+}
