quotas: terms follow a reload of the settings

Cause: a reload replaced the bounds of the settings, but the ledger of quotas kept those of the start. Draws that others had reported before the first request of an organisation here were debited without ever being refilled. Change: the ledger takes the new terms; an account begins with a part of the reserve whatever was reported before.

--- a/include/laburnumspar/quotaledger.h
+++ b/include/laburnumspar/quotaledger.h
@@ -53,6 +53,10 @@
 
     QuotaLedger(std::string selfIp, const QuotaTerms &terms, TimePoint now);
 
+    void setTerms(const QuotaTerms &terms)
+    {
+        m_terms = terms;
+    }
     /// Counts a request that has arrived at this instance, with or without an organisation.
     void recordArrival(TimePoint now);
     /// Takes one request from the quota. Returns nothing if it is granted, otherwise the time until it may be.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -329,6 +329,7 @@
             setLogLevel(newSettings.logLevel);
             settings.seeds = newSettings.seeds;
             settings.bounds = newSettings.bounds;
+            quotas.setTerms(settings.bounds.quota);
             logEvent(LogLevel::Info, "settings.reloaded", {{"seeds", settings.seeds.size()}});
         } catch (const Error &e) {
             logEvent(LogLevel::Error, "settings.reload-failed", {{"error", e.what()}});
--- a/src/quotaledger.cpp
+++ b/src/quotaledger.cpp
@@ -147,7 +147,8 @@
         account.updatedAt = now;
     }
     account.peers[ip] = {report.demand, now};
-    account.reserve -= report.drawn;
+    // What others took before the first request here is not known, so the account begins with a part of the reserve.
+    account.reserve -= account.name.empty() ? 0 : report.drawn;
     if (report.demand > 0) {
         // The others have to know that there is no demand here, or how much.
         auto &reportUntil = m_reported[report.organisation];
