--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -143,6 +143,9 @@
     std::vector<Summary> summaries(TimePoint now) const;
 
 private:
+    /// Above this probability of a fault, an upstream counts as faulty.
+    static constexpr double FaultyThreshold = 0.5;
+
     struct Attempt {
         AttemptId id = 0;
         TimePoint started;
--- a/src/quotaledger.cpp
+++ b/src/quotaledger.cpp
@@ -1,5 +1,7 @@
 #include "laburnumspar/quotaledger.h"
 
+#include "detail/duration.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -7,6 +9,8 @@
 
 namespace laburnumspar {
 
+using detail::seconds;
+
 namespace {
 
 /// Time constant of the smoothed rates. Shares follow callers that move to other instances within this time.
@@ -43,11 +47,6 @@
 constexpr Milliseconds MinWait{50};
 constexpr Milliseconds MaxWait{5000};
 
-double seconds(Clock::duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 void QuotaLedger::SmoothedRate::record(TimePoint now)
