forwarding: organisations apply to requests that wait for the first ones

Cause: a request that arrived under a configuration without organisations and was sent under one with them kept the headers with the caller's key, and the check before the first attempt passed it over because it had no organisation. Change: these headers are added only when a request is sent, and the newest configuration decides about them. Measured: the new case of test_organisationaccess passes; it was not run on the code before.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -12,17 +12,6 @@
 constexpr Milliseconds NoRoutesRetryAfter{500};
 constexpr std::string_view QuotaUsedUp = "the quota of the organisation is used up";
 
-/// Sets what the upstream is told about the caller's organisation.
-void identify(ForwardedRequest &request, const RouteTable &table, const Access &access)
-{
-    if (table.organisations() == nullptr) {
-        request.headers += request.identityHeaders;
-    } else if (access.organisation != nullptr) {
-        request.organisation = access.organisation->name;
-    }
-    request.identityHeaders.clear();
-}
-
 } // namespace
 
 Forwarder::Forwarder(asio::io_context &context,
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/forwarding.cpp
@@ -108,12 +108,12 @@
 bool Forwarding::refuseWithoutAccess(TimePoint now)
 {
     const auto &newest = m_forwarder.m_serviceRegistry.routes();
-    if (newest == m_table || m_request.organisation.empty() || newest->organisations() == nullptr) {
+    if (newest == m_table || newest->organisations() == nullptr) {
         return false;
     }
     const auto access = newest->access(m_route, m_request.key);
     if (access.granted) {
-        m_request.organisation = access.organisation != nullptr ? access.organisation->name : std::string();
+        identify(m_request, *newest, access);
         return false;
     }
     answer(makeLocalAnswer(
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/callerserver.h"
 #include "gateway/changesreply.h"
 #include "gateway/grouplink.h"
+#include "gateway/instancegauges.h"
 #include "gateway/loopmonitor.h"
 #include "gateway/statedump.h"
 #include "gateway/stopschedule.h"
@@ -288,25 +289,7 @@
         if (request.target() != "/metrics") {
             co_return makeResponse(http::status::not_found, "text/plain", "unknown target\n");
         }
-        metrics.gauge("lspar_connections_opened").set(double(forwarder.connections().opened()));
-        metrics.gauge("lspar_store_calls").set(double(follower.storeCalls()));
-        metrics.gauge("lspar_store_era").set(double(follower.storeEra()));
-        metrics.gauge("lspar_store_revision").set(double(follower.mirror().newestRevision().number));
-        metrics.gauge("lspar_store_age_seconds").set(double(follower.fleetStoreAge(Clock::now()).count()) / 1000);
-        metrics.gauge("lspar_pulls").set(double(follower.pulls()));
-        metrics.gauge("lspar_pulls_failed").set(double(follower.failedPulls()));
-        metrics.gauge("lspar_pulls_rejected").set(double(follower.rejectedPulls()));
-        metrics.gauge("lspar_store_replies_rejected").set(double(follower.rejectedReplies()));
-        metrics.gauge("lspar_requests_in_flight").set(double(forwarder.inFlight()));
-        metrics.gauge("lspar_quota_decisions", {{"result", "own-share"}}).set(double(quotas.counts().ownShare));
-        metrics.gauge("lspar_quota_decisions", {{"result", "reserve"}}).set(double(quotas.counts().reserve));
-        metrics.gauge("lspar_quota_decisions", {{"result", "refused"}}).set(double(quotas.counts().refused));
-        metrics.gauge("lspar_memory_budget_bytes").set(double(memory.limit()));
-        metrics.gauge("lspar_memory_held_bytes").set(double(memory.held()));
-        for (const auto use : MemoryUses) {
-            metrics.gauge("lspar_memory_refused", {{"use", std::string(useName(use))}})
-                .set(double(memory.refused(use)));
-        }
+        updateGauges(metrics, {forwarder, follower, quotas, memory}, Clock::now());
         co_return makeResponse(http::status::ok, "text/plain; version=0.0.4", metrics.prometheus());
     }
 
--- a/src/gateway/httptext.cpp
+++ b/src/gateway/httptext.cpp
@@ -113,13 +113,22 @@
     return request;
 }
 
+void identify(ForwardedRequest &request, const RouteTable &table, const Access &access)
+{
+    if (table.organisations() == nullptr) {
+        return;
+    }
+    request.identityHeaders.clear();
+    request.organisation = access.organisation != nullptr ? access.organisation->name : std::string();
+}
+
 std::string upstreamHead(const ForwardedRequest &request,
                          const ForwardingHeaders &names,
                          const std::string &identity,
                          Milliseconds timeLeft)
 {
     std::string head = request.method + ' ' + request.target + " HTTP/1.1\r\nHost: " + request.host + "\r\n";
-    head += request.headers;
+    head += request.headers + request.identityHeaders;
     head += names.deadline + ": " + std::to_string(std::max<std::int64_t>(timeLeft.count(), 1)) + "\r\n";
     head += names.expectedIdentity + ": " + identity + "\r\n";
     if (!request.organisation.empty()) {
--- a/src/gateway/httptext.h
+++ b/src/gateway/httptext.h
@@ -20,7 +20,7 @@
     std::string target;
     std::string host;
     std::string headers; ///< header lines that are forwarded unchanged
-    std::string identityHeaders; ///< those about an organisation, forwarded if the fleet serves no organisations
+    std::string identityHeaders; ///< those about an organisation, forwarded only if the fleet serves no organisations
     std::optional<KeyDigest> key; ///< of the only key in the headers, if it is valid
     std::string organisation; ///< named to the upstream; empty: none
     std::shared_ptr<const MessageBody> body = std::make_shared<MessageBody>(); ///< shared by all attempts
@@ -42,6 +42,8 @@
 constexpr Milliseconds DefaultDeadline{30'000};
 
 ForwardedRequest makeForwardedRequest(CallerMessage message, const ForwardingHeaders &names, TimePoint now);
+/// Sets what upstreams are told about the organisation of the caller by a configuration that grants access.
+void identify(ForwardedRequest &request, const RouteTable &table, const Access &access);
 /// Returns the request line and headers for an upstream. `timeLeft` is sent to it as the deadline.
 std::string upstreamHead(const ForwardedRequest &request,
                          const ForwardingHeaders &names,
--- a/tests/test_organisationaccess.cpp
+++ b/tests/test_organisationaccess.cpp
@@ -144,6 +144,28 @@
     BOOST_TEST(received[4]["X-Organisation"] == "new");
 }
 
+// Guards against a key that is sent to an upstream because its request was queued before the first organisations were
+// known, and against 401 while no configuration is known.
+BOOST_FIXTURE_TEST_CASE(organisationsApplyToRequestsThatWait, OrganisationFixture)
+{
+    BOOST_TEST(statusOf(send("X-Key: k1\r\n")) == 503U);
+    serviceRegistry.applyRoutes(makeTable(true));
+    firstDelay = Milliseconds(300);
+    std::vector<std::unique_ptr<RawCaller>> requests;
+    for (int n = 0; n < 5; ++n) {
+        requests.push_back(std::make_unique<RawCaller>(context, callerAddress));
+        requests.back()->send("GET /pay HTTP/1.1\r\nHost: a.example\r\nX-Id: r" + std::to_string(n)
+                              + "\r\nX-Left: 3000\r\nX-Key: k1\r\n\r\n");
+    }
+    context.restart();
+    context.run_for(Milliseconds(50));
+    serviceRegistry.applyRoutes(makeOrganisationTable(2, {{makeOrganisation("acme"), "k1"}}));
+    BOOST_TEST(statusOf(requests.back()->receiveAnswers(1)) == 200U);
+    BOOST_REQUIRE(received.size() == 5U);
+    BOOST_TEST(received.back().count("X-Key") == 0U);
+    BOOST_TEST(received.back()["X-Organisation"] == "acme");
+}
+
 // Guards against requests beyond the quota that run, and against refusals without the time of the next token.
 BOOST_FIXTURE_TEST_CASE(requestsBeyondTheQuotaAreRefusedAtOnce, OrganisationFixture)
 {
