pool: a stuck upstream is found by the starts of attempts

All their slots were held by attempts that took seconds. The trial of such upstreams waited for the last news of them, which the end of a long attempt renews, and for a retry that was left. Change: it comes 1.2 s after the newest known start of an attempt, also without a retry that is left; it concerns requests that may run again, while more than 9% are not served.

--- a/include/laburnumspar/upstreampool.h
+++ b/include/laburnumspar/upstreampool.h
@@ -161,6 +161,7 @@
         TimePoint lastSuccessStart; ///< start of the newest successful attempt
         TimePoint addedAt;
         TimePoint lastAttempt; ///< start of the last attempt or arrival of the last remote observation; zero if none
+        TimePoint lastArrival; ///< newest known start of an attempt of any instance; zero if none
         bool lastSucceeded = false; ///< the newest outcome, of any instance, is a success
         bool explored = true; ///< this instance finds out about its health for all instances
         double rateShare = 0; ///< share of its request rate that this instance may use
--- a/src/upstreampool.cpp
+++ b/src/upstreampool.cpp
@@ -149,6 +149,7 @@
     const auto attempt = m_nextAttempt++;
     upstream->inFlight.push_back({attempt, now, request.latency});
     upstream->lastAttempt = now;
+    upstream->lastArrival = now;
     m_constraints.recordRequest(upstream->entry.id, upstream->rateShare, now);
     m_attempts.emplace(attempt, upstream->entry.id);
     return Choice{attempt, upstream->entry, fault};
@@ -244,6 +245,7 @@
     auto &upstream = it->second;
     if (observation.successes > 0) {
         upstream.lastSuccessStart = std::max(upstream.lastSuccessStart, now - observation.successAge);
+        upstream.lastArrival = std::max(upstream.lastArrival, now - observation.successAge);
     }
     if (observation.successes + observation.failures > 0) {
         upstream.lastSucceeded = observation.failures == 0;
--- a/src/upstreamselection.cpp
+++ b/src/upstreamselection.cpp
@@ -83,11 +83,12 @@
 }
 
 /// Whether attempts that may never end hold all slots of an upstream while many requests are not served. It may have
-/// recovered, and a request that can be retried finds out.
+/// recovered, and a request that may run again finds out, also without a retry that is left for it.
 bool UpstreamPool::isStuck(const Upstream &upstream, const Request &request, TimePoint now) const
 {
-    return m_lossy && upstream.explored && !request.finalAttempt && request.allowTrial && isAllowed(upstream, now)
-        && now >= upstream.fullUntil && upstream.inFlight.size() <= upstream.entry.slots && isIdle(upstream, now);
+    return m_lossy && upstream.explored && !request.finalAttempt && isAllowed(upstream, now)
+        && now >= upstream.fullUntil && upstream.inFlight.size() <= upstream.entry.slots
+        && now - std::max(upstream.lastArrival, upstream.addedAt) > LossyTrialInterval;
 }
 
 double UpstreamPool::selectionCost(
