--- a/tests/test_quotaledger.cpp
+++ b/tests/test_quotaledger.cpp
@@ -269,6 +269,37 @@
     }
 }
 
+// Failure and load: an organisation sends eight times its quota while instances leave the active ones and others
+// without memory take their place. Guards against a burst that each set of active instances spends anew.
+BOOST_AUTO_TEST_CASE(aBurstDuringAChangeOfTheActiveInstancesKeepsTheQuota)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        Fleet fleet(8, {100, 100}, seed);
+        for (std::size_t n = 4; n < 8; ++n) {
+            fleet.up[n] = false;
+        }
+        fleet.run(4s);
+        fleet.demand = {15, 15, 15, 15, 0, 0, 0, 0};
+        fleet.run(4s);
+        // The callers move with the change, half of them at once.
+        fleet.demand = {200, 200, 0, 0, 200, 200, 0, 0};
+        for (const std::size_t n : {4U, 5U}) {
+            fleet.up[n] = true;
+            fleet.restart(n);
+        }
+        fleet.up[2] = fleet.up[3] = false;
+        fleet.run(2s);
+        fleet.demand = {0, 0, 0, 0, 200, 200, 200, 200};
+        for (const std::size_t n : {6U, 7U}) {
+            fleet.up[n] = true;
+            fleet.restart(n);
+        }
+        fleet.up[0] = fleet.up[1] = false;
+        fleet.run(6s);
+        BOOST_TEST(double(fleet.largestWindow()) <= fleet.bound(), "seed " << seed << ": " << fleet.largestWindow());
+    }
+}
+
 // Failure: a quota is cut to a tenth while callers press. Guards against the old burst being spent afterwards.
 BOOST_AUTO_TEST_CASE(aLowerQuotaTakesForceAtOnce)
 {
