--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -91,7 +91,7 @@
         self.history = []  # events
         self.floor = 100  # no history up to this revision
         self.leases = {}  # key -> end
-        self.changed = asyncio.Event()
+        self.changed = None  # set when something is written
         self.era = None
         self.closed_to = set()  # machines that are turned away with 503
 
@@ -119,7 +119,8 @@
 
     def _event(self, event):
         self.history.append((time.monotonic(), event))
-        self.changed.set()
+        if self.changed is not None:
+            self.changed.set()
         self.changed = asyncio.Event()
 
     async def expire(self):
@@ -219,7 +220,8 @@
         self.world.store.put("servers/" + self.id, entry, lease_s=4.5)
 
     async def beats(self):
-        await asyncio.sleep(random.random() * 0.3)
+        self.beat()
+        await asyncio.sleep(random.random() * 1.5)
         while True:
             if self.listed:
                 self.beat()
@@ -555,6 +557,7 @@
         self.seeds = self.machines[: min(3, len(self.machines))]
         self.by_inner_ip = {m.inner_ip: m for m in self.machines}
         self.servers = []
+        self.store = Store(self)
         self.sent = {}  # id -> time
         self.runs = []  # (time, id, server, tenant)
         self.ids = 0
@@ -582,7 +585,6 @@
                 self.servers.append(Server(self, service, z, first + n, slots, work_s))
 
     async def start(self, config):
-        self.store = Store(self)
         self.store.put("op/config", config)
         asyncio.create_task(self.store.expire())
         for m in self.machines:
